--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -1,6 +1,7 @@
 #include "dandelionmill/gateway/backend_call.h"
 
 #include <array>
+#include <limits>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -43,7 +44,7 @@
 void BackendCall::NewParser() {
   parser_.emplace();
   parser_->header_limit(kMaxHeadBytes);
-  parser_->body_limit(boost::none);
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   parser_->skip(is_head_request_);
   head_reported_ = false;
   is_foreign_ = false;
