List large reservations before use; let instances lend tokens; end in order

Change: a row lists what may be committed, more only after a quiet second without the store; instances lend by datagram; while leaving only requests that can end are taken, and 1 s is kept for returning tokens.

--- a/src/dandelionmill/gateway/core.h
+++ b/src/dandelionmill/gateway/core.h
@@ -52,6 +52,10 @@
   // Instances of the fleet that are alive, this one included.
   int instances = 1;
   bool is_leaving = false;
+  // While leaving: from then on only requests are taken that end, by their
+  // deadlines, before `ends_at`.
+  base::MonoTime last_new_request{};
+  base::MonoTime ends_at{};
   int open_exchanges = 0;
 };
 
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -17,8 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// Longest wait for prepaid tokens to be drawn: a transaction of a slow store.
-constexpr milliseconds kMaxReserveWait{400};
+// Longest wait for prepaid tokens: the quiet time after which they may be used
+// without the store, and some for borrowing.
+constexpr milliseconds kMaxReserveWait{1300};
 
 // A request that must not be repeated uses a kept connection only this soon
 // after its last use, since a peer that closed it meanwhile may have read it.
@@ -130,6 +131,11 @@
     return RefuseNotRun(base::Code::kDeadlineExceeded,
                         "too little time is left", std::nullopt);
   }
+  if (core_.is_leaving && begun_ > core_.last_new_request &&
+      deadline_ > core_.ends_at) {
+    return RefuseNotRun(base::Code::kLeaving, "the instance is shutting down",
+                        kRetryElsewhere);
+  }
   const std::string account = account_ == nullptr ? "" : account_->id.value();
   digest_ = std::to_string(base::StableHash(
                 account + "\n" + std::string(target) + "\n" + request_.body())) +
@@ -641,7 +647,7 @@
            std::min(output, terms_.model->max_output_tokens);
   }
   core_.keeper.Settle(account_->id, reserved_, used);
-  reserved_ = 0;
+  used_ = used;
 }
 
 void Exchange::Finish(const char* outcome,
@@ -676,6 +682,8 @@
       .With("code", code)
       .With("detail", detail)
       .With("events", events_)
+      .With("reserved", reserved_)
+      .With("used", used_)
       .With("sent_ms", since(sent_at_))
       .With("first_event_ms", since(first_event_at_))
       .With("total_ms", since(now));
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -110,6 +110,7 @@
   std::string digest_;
 
   base::Tokens reserved_ = 0;
+  base::Tokens used_ = 0;
   std::uint64_t waiter_ = 0;
 
   // The attempt under way.
--- a/src/dandelionmill/gateway/fleet_members.cc
+++ b/src/dandelionmill/gateway/fleet_members.cc
@@ -1,5 +1,7 @@
 #include "dandelionmill/gateway/fleet_members.h"
 
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "dandelionmill/log/event.h"
@@ -7,22 +9,33 @@
 namespace dandelionmill::gateway {
 namespace {
 
+using nlohmann::json;
+
 constexpr char kTable[] = "instances";
 constexpr std::chrono::milliseconds kTimeout{600};
 
+// Returns nothing when the row cannot be read.
+std::optional<peer::Instance> DecodePeer(const std::string& text) {
+  const json row = json::parse(text, nullptr, false);
+  if (!row.is_object() || !row.contains("peer") || !row["peer"].is_string() ||
+      !row.contains("zone") || !row["zone"].is_string())
+    return std::nullopt;
+  const auto address = net::ParseAddress(row["peer"].get<std::string>());
+  if (!base::IsOk(address))
+    return std::nullopt;
+  return peer::Instance{base::ZoneId(row["zone"].get<std::string>()),
+                        base::ValueOf(address)};
+}
+
 }  // namespace
 
 FleetMembers::FleetMembers(storage::AsyncTable& table,
-                           std::string instance,
-                           std::string process,
-                           std::function<void(int)> on_count)
-    : table_(table),
-      instance_(std::move(instance)),
-      process_(std::move(process)),
-      on_count_(std::move(on_count)) {}
+                           Self self,
+                           Listener listener)
+    : table_(table), self_(std::move(self)), listener_(std::move(listener)) {}
 
 storage::RowKey FleetMembers::OwnKey() const {
-  return {kTable, "", instance_};
+  return {kTable, "", self_.instance};
 }
 
 void FleetMembers::Tick() {
@@ -30,7 +43,11 @@
     return;
   is_under_way_ = true;
   storage::RowChange change;
-  change.puts.push_back({OwnKey(), process_});
+  change.puts.push_back(
+      {OwnKey(), json{{"process", self_.process},
+                      {"zone", self_.peer.zone.value()},
+                      {"peer", net::ToString(self_.peer.address)}}
+                     .dump()});
   table_.Commit(std::move(change), kTimeout, [this](storage::TableAnswer) {
     if (has_left_)
       return;
@@ -51,25 +68,30 @@
 void FleetMembers::OnRows(const storage::TableAnswer& answer,
                           base::MonoTime now) {
   std::map<std::string, Seen> rows;
+  std::vector<peer::Instance> peers;
   int alive = 0;
   for (const storage::VersionedRow& row : answer.rows) {
     Seen seen = seen_[row.key.key];
     if (seen.version != row.version)
       seen = {row.version, now};
-    if (now - seen.changed_at < kLifetime)
+    if (now - seen.changed_at < kLifetime) {
       ++alive;
+      const auto peer = DecodePeer(row.value);
+      if (peer && row.key.key != self_.instance)
+        peers.push_back(*peer);
+    }
     rows[row.key.key] = seen;
   }
   seen_ = std::move(rows);
   alive = alive > 0 ? alive : 1;
-  if (alive == count_)
-    return;
-  log::Event(log::Level::kInfo, "instances_counted")
-      .With("from", count_)
-      .With("to", alive)
-      .With("listed", answer.rows.size());
+  if (alive != count_) {
+    log::Event(log::Level::kInfo, "instances_counted")
+        .With("from", count_)
+        .With("to", alive)
+        .With("listed", answer.rows.size());
+  }
   count_ = alive;
-  on_count_(count_);
+  listener_(count_, std::move(peers));
 }
 
 void FleetMembers::Leave(std::function<void()> done) {
--- a/src/dandelionmill/gateway/fleet_members.h
+++ b/src/dandelionmill/gateway/fleet_members.h
@@ -6,8 +6,10 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "dandelionmill/base/units.h"
+#include "dandelionmill/peer/borrower.h"
 #include "dandelionmill/storage/async_table.h"
 
 namespace dandelionmill::gateway {
@@ -21,11 +23,17 @@
   // Three heartbeats and the time that one may take.
   static constexpr std::chrono::milliseconds kLifetime{7000};
 
+  // What an instance tells the others.
+  struct Self {
+    std::string instance;
+    std::string process;
+    peer::Instance peer;
+  };
+  // Gets the number of live instances and how to reach the others.
+  using Listener = std::function<void(int, std::vector<peer::Instance>)>;
+
   // `table` must outlive this.
-  FleetMembers(storage::AsyncTable& table,
-               std::string instance,
-               std::string process,
-               std::function<void(int)> on_count);
+  FleetMembers(storage::AsyncTable& table, Self self, Listener listener);
 
   // Commands.
   // Writes a heartbeat and reads those of the others.
@@ -47,9 +55,8 @@
   storage::RowKey OwnKey() const;
 
   storage::AsyncTable& table_;
-  const std::string instance_;
-  const std::string process_;
-  const std::function<void(int)> on_count_;
+  const Self self_;
+  const Listener listener_;
   std::map<std::string, Seen> seen_;
   bool is_under_way_ = false;
   bool has_left_ = false;
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -22,17 +22,21 @@
 constexpr milliseconds kShareTimeout{600};
 
 constexpr milliseconds kTick{250};
-constexpr milliseconds kPrepaidTick{1000};
+constexpr milliseconds kPrepaidTick = prepaid::Ledger::kQuiet / 2;
 constexpr milliseconds kSweep{1000};
 
 // How long after the start of leaving the balancer may still send new
 // connections: two questions a second apart, and one on its way.
 constexpr milliseconds kRotationTime{2600};
+// Until when requests are taken that may last longer than the process.
+constexpr milliseconds kLastNewRequest{2800};
 // When connections without a request are closed while leaving.
 constexpr milliseconds kCloseIdleAfter{1500};
 // Time for failing what is left and giving back tokens before the platform
-// kills the process.
-constexpr milliseconds kLastWords{350};
+// kills the process: two calls to the store that both time out.
+constexpr milliseconds kLastWords{1000};
+// When the process ends whatever it still waits for.
+constexpr milliseconds kLastMoment{400};
 
 RetryAllowance::Limits RetryLimits(const platform::NodeSettings& settings) {
   return {settings.retry_ratio, settings.retry_reserve, settings.retry_window};
@@ -50,6 +54,16 @@
       store_(loop, settings.store),
       keeper_(loop, store_, settings.instance.value(), process_),
       core_(loop, keeper_, settings.zone, RetryLimits(settings)),
+      lending_(
+          loop,
+          [this](const base::AccountId& account, base::Tokens tokens,
+                 peer::LendingPort::Granted granted) {
+            keeper_.Lend(account, tokens, std::move(granted));
+          },
+          [this](const base::AccountId& account, base::Tokens tokens) {
+            keeper_.OnGiven(account, tokens);
+          }),
+      borrower_(loop, lending_, settings.zone, core_.random()),
       config_follower_(
           loop, store_, platform::kDesiredStateTable,
           {[this](const auto& row) { OnConfigRow(row); },
@@ -79,8 +93,13 @@
            [this](bool reachable, const std::string& reason) {
              OnStoreReachable("crashes", reachable, reason);
            }}),
-      members_(store_, settings.instance.value(), process_,
-               [this](int count) { OnInstances(count); }),
+      members_(store_,
+               {settings.instance.value(),
+                process_,
+                {settings.zone, settings.peers}},
+               [this](int count, std::vector<peer::Instance> others) {
+                 OnInstances(count, std::move(others));
+               }),
       readiness_(loop),
       metrics_(loop),
       acceptor_(loop),
@@ -105,8 +124,15 @@
     status = readiness_.Listen(settings_.readiness);
   if (base::IsOk(status) && metrics_port_ != 0)
     status = metrics_.Listen({settings_.callers.host, metrics_port_});
+  if (base::IsOk(status))
+    status = lending_.Listen(settings_.peers);
   if (!base::IsOk(status))
     return status;
+  keeper_.SetBorrower([this](const base::AccountId& account,
+                             base::Tokens tokens,
+                             std::function<void(base::Tokens)> handler) {
+    borrower_.Borrow(account, tokens, std::move(handler));
+  });
   log::Event(log::Level::kInfo, "started")
       .With("process", process_)
       .With("zone", settings_.zone)
@@ -262,8 +288,9 @@
       .With("reason", reason);
 }
 
-void Gateway::OnInstances(int count) {
+void Gateway::OnInstances(int count, std::vector<peer::Instance> others) {
   core_.instances = count;
+  borrower_.SetInstances(std::move(others));
   keeper_.SetInstances(count);
 }
 
@@ -299,10 +326,16 @@
   left_ = std::move(done);
   leaving_since_ = std::chrono::steady_clock::now();
   core_.is_leaving = true;
+  core_.last_new_request = leaving_since_ + kLastNewRequest;
+  core_.ends_at = leaving_since_ + settings_.shutdown_grace - kLastWords;
 }
 
 void Gateway::OnLeavingTick(base::MonoTime now) {
   const auto passed = now - leaving_since_;
+  if (passed >= settings_.shutdown_grace - kLastMoment) {
+    FinishLeaving();
+    return;
+  }
   if (is_giving_back_)
     return;
   if (passed >= kCloseIdleAfter) {
@@ -325,13 +358,15 @@
   is_giving_back_ = true;
   error_code ignored;
   acceptor_.close(ignored);
-  const auto finish = [this] {
-    log::Event(log::Level::kInfo, "left")
-        .With("open_requests", core_.open_exchanges);
-    if (left_)
-      std::exchange(left_, nullptr)();
-  };
-  keeper_.ReturnAll([this, finish] { members_.Leave(finish); });
+  keeper_.ReturnAll([this] { members_.Leave([this] { FinishLeaving(); }); });
+}
+
+void Gateway::FinishLeaving() {
+  if (!left_)
+    return;
+  log::Event(log::Level::kInfo, "left")
+      .With("open_requests", core_.open_exchanges);
+  std::exchange(left_, nullptr)();
 }
 
 void Gateway::Reload(const platform::NodeSettings& settings) {
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -13,6 +13,8 @@
 #include "dandelionmill/gateway/fleet_members.h"
 #include "dandelionmill/gateway/status_server.h"
 #include "dandelionmill/gateway/table_follower.h"
+#include "dandelionmill/peer/borrower.h"
+#include "dandelionmill/peer/lending_port.h"
 #include "dandelionmill/platform/node_settings.h"
 #include "dandelionmill/platform/store_client.h"
 #include "dandelionmill/prepaid/keeper.h"
@@ -47,11 +49,12 @@
   void OnCrashRow(const storage::VersionedRow& row);
   void OnStoreReachable(const char* what, bool reachable,
                         const std::string& reason);
-  void OnInstances(int count);
+  void OnInstances(int count, std::vector<peer::Instance> others);
   void ShareCrashes();
   void Tick(base::MonoTime now);
   void OnLeavingTick(base::MonoTime now);
   void GiveBack();
+  void FinishLeaving();
   bool IsReady() const;
   std::string Dump() const;
 
@@ -62,6 +65,8 @@
   platform::StoreClient store_;
   prepaid::Keeper keeper_;
   Core core_;
+  peer::LendingPort lending_;
+  peer::Borrower borrower_;
   TableFollower config_follower_;
   TableFollower backend_follower_;
   TableFollower crash_follower_;
--- a/src/dandelionmill/platform/node_settings.cc
+++ b/src/dandelionmill/platform/node_settings.cc
@@ -63,6 +63,14 @@
     return base::ValueOf(parsed);
   }
 
+  int FirstPort(const std::string& key) {
+    const std::string text = Text(key);
+    const int port = std::atoi(text.c_str());
+    if (!text.empty() && (port < 1 || port > 65535))
+      Fail(Bad(key, text, "FIRST,LAST with ports from 1 to 65535"));
+    return port;
+  }
+
   // Returns `fallback` when the key is missing or empty.
   double Number(const std::string& key, double fallback, double maximum) {
     const auto found = lines_.find(key);
@@ -116,6 +124,9 @@
   settings.callers = reader.Address("listen.frontend");
   settings.readiness = reader.Address("listen.ready");
   settings.store = reader.Address("platform.address");
+  // The first of a range of ports that are free for traffic between instances.
+  settings.peers = {reader.Text("ipAddress"),
+                    reader.FirstPort("internalPortRange")};
   settings.shutdown_grace =
       reader.Milliseconds("bounds.graceS", settings.shutdown_grace, 1000);
   settings.drain_bound =
--- a/src/dandelionmill/platform/node_settings.h
+++ b/src/dandelionmill/platform/node_settings.h
@@ -24,6 +24,8 @@
   // The balancer asks here whether the instance takes new connections.
   net::Address readiness;
   net::Address store;
+  // Other instances of the fleet send datagrams here.
+  net::Address peers;
 
   // Time from SIGTERM to SIGKILL.
   std::chrono::milliseconds shutdown_grace{8000};
--- a/src/dandelionmill/prepaid/keeper.cc
+++ b/src/dandelionmill/prepaid/keeper.cc
@@ -26,6 +26,15 @@
 // instances return tokens about once a second.
 constexpr std::chrono::milliseconds kFreshTotal{400};
 
+// How often waiting reservations are looked at beside each answer.
+constexpr std::chrono::milliseconds kWaiterCheck{100};
+
+// How long another instance that asks for tokens is kept waiting for a row.
+constexpr std::chrono::milliseconds kLendTimeout{150};
+
+// Rows that are stored at once for a reservation that waits.
+constexpr int kRowsPerWaiter = 2;
+
 // Conflicts after which the next tick is awaited, so that instances that race
 // each other spread out.
 constexpr int kMaxConflictsInARow = 4;
@@ -95,7 +104,7 @@
     view.drawn = total == totals_.end() ? 0 : total->second.drawn;
     for (const Waiter& waiter : waiters_) {
       if (waiter.account == account)
-        view.waited_for += waiter.tokens;
+        (waiter.is_lending ? view.to_lend : view.waited_for) += waiter.tokens;
     }
     views.push_back(std::move(view));
   }
@@ -181,6 +190,8 @@
 void Keeper::OnStored(const Ledger::Proposal& proposal) {
   conflicts_in_a_row_ = 0;
   ledger_.OnStored(proposal, base::BootClock::now());
+  for (Waiter& waiter : waiters_)
+    ++waiter.rows_stored;
   // The holder row has moved on, so what was in doubt can no longer happen.
   for (const Ledger::Proposal& other : in_doubt_) {
     if (other.row.sequence != proposal.row.sequence)
@@ -297,6 +308,10 @@
 
 void Keeper::Finish() {
   ServeWaiters();
+  if (returned_ && !is_return_sent_) {
+    CommitReturn();
+    return;
+  }
   if (returned_) {
     std::exchange(returned_, nullptr)();
     return;
@@ -306,75 +321,139 @@
 }
 
 bool Keeper::TryReserve(const base::AccountId& account, base::Tokens tokens) {
-  if (!HasLimit(account))
-    return true;
-  const bool reserved =
-      ledger_.TryReserve(account, tokens, base::BootClock::now());
-  if (!is_committing_ && !last_call_failed_ &&
-      ledger_.IsReportDue(base::BootClock::now()))
-    Tick();
-  return reserved;
+  return !HasLimit(account) ||
+         ledger_.TryReserve(account, tokens, base::BootClock::now());
+}
+
+std::uint64_t Keeper::AddWaiter(const base::AccountId& account,
+                                base::Tokens tokens,
+                                std::chrono::milliseconds timeout,
+                                bool is_lending,
+                                Handler handler) {
+  Waiter waiter;
+  waiter.number = next_waiter_++;
+  waiter.account = account;
+  waiter.tokens = tokens;
+  waiter.until = std::chrono::steady_clock::now() + timeout;
+  waiter.handler = std::move(handler);
+  waiter.is_lending = is_lending;
+  waiters_.push_back(std::move(waiter));
+  if (waiters_.size() == 1)
+    ScheduleWaiterCheck();
+  return waiters_.back().number;
 }
 
 std::uint64_t Keeper::ReserveLater(const base::AccountId& account,
                                    base::Tokens tokens,
                                    std::chrono::milliseconds timeout,
                                    Handler handler) {
-  const std::uint64_t number = next_waiter_++;
-  waiters_.push_back({number, account, tokens,
-                      std::chrono::steady_clock::now() + timeout,
-                      std::move(handler)});
-  ScheduleWaiterCheck();
-  if (Undrawn(account) < tokens && !IsTotalFresh(account) &&
-      totals_[account].is_known)
+  const std::uint64_t number =
+      AddWaiter(account, tokens, timeout, false, std::move(handler));
+  if (Undrawn(account) + ledger_.Held(account) < tokens &&
+      totals_[account].is_known && !IsTotalFresh(account))
     ReadTotal(account);
   else
     Tick();
   return number;
 }
 
+void Keeper::Lend(const base::AccountId& account,
+                  base::Tokens tokens,
+                  std::function<void(base::Tokens)> handler) {
+  const base::Tokens amount = std::min(tokens, ledger_.Held(account));
+  if (amount <= 0 || !HasLimit(account) || returned_) {
+    handler(0);
+    return;
+  }
+  if (ledger_.TryReserve(account, amount, base::BootClock::now())) {
+    ledger_.GiveAway(account, amount);
+    handler(amount);
+    return;
+  }
+  AddWaiter(account, amount, kLendTimeout, true,
+            [this, account, amount,
+             handler = std::move(handler)](ReserveOutcome outcome) {
+              const bool reserved = outcome == ReserveOutcome::kReserved;
+              if (reserved)
+                ledger_.GiveAway(account, amount);
+              handler(reserved ? amount : 0);
+            });
+  Tick();
+}
+
 void Keeper::Cancel(std::uint64_t waiter) {
   waiters_.remove_if(
       [waiter](const Waiter& other) { return other.number == waiter; });
 }
 
+std::optional<ReserveOutcome> Keeper::Decide(Waiter& waiter,
+                                             base::MonoTime now) {
+  if (ledger_.TryReserve(waiter.account, waiter.tokens,
+                         base::BootClock::now()))
+    return ReserveOutcome::kReserved;
+  if (now >= waiter.until)
+    return ReserveOutcome::kUnavailable;
+  const base::Tokens held = ledger_.Held(waiter.account);
+  if (waiter.is_lending || held >= waiter.tokens || waiter.is_borrowing)
+    return std::nullopt;
+  const bool store_has_too_little =
+      !last_call_failed_ && IsTotalFresh(waiter.account) &&
+      Undrawn(waiter.account) + held < waiter.tokens;
+  if (!store_has_too_little && !last_call_failed_)
+    return std::nullopt;
+  if (borrower_ && !waiter.has_borrowed) {
+    StartBorrowing(waiter, waiter.tokens - held);
+    return std::nullopt;
+  }
+  return store_has_too_little ? ReserveOutcome::kExhausted
+                              : ReserveOutcome::kUnavailable;
+}
+
+void Keeper::StartBorrowing(Waiter& waiter, base::Tokens tokens) {
+  waiter.is_borrowing = true;
+  borrower_(waiter.account, tokens,
+            [this, account = waiter.account, number = waiter.number,
+             tokens](base::Tokens given) {
+              ledger_.Borrow(account, given);
+              log::Event(log::Level::kInfo, "prepaid_borrowed")
+                  .With("account", account)
+                  .With("asked", tokens)
+                  .With("given", given);
+              for (Waiter& other : waiters_) {
+                if (other.number == number) {
+                  other.is_borrowing = false;
+                  other.has_borrowed = true;
+                }
+              }
+              ServeWaiters();
+            });
+}
+
 void Keeper::ServeWaiters() {
   const base::MonoTime now = std::chrono::steady_clock::now();
   std::vector<std::pair<Handler, ReserveOutcome>> ready;
   for (auto at = waiters_.begin(); at != waiters_.end();) {
-    std::optional<ReserveOutcome> outcome;
-    if (ledger_.TryReserve(at->account, at->tokens, base::BootClock::now())) {
-      outcome = ReserveOutcome::kReserved;
-    } else if (IsTotalFresh(at->account) && !last_call_failed_ &&
-               Undrawn(at->account) + ledger_.Held(at->account) < at->tokens) {
-      outcome = ReserveOutcome::kExhausted;
-    } else if (last_call_failed_ || now >= at->until) {
-      outcome = ReserveOutcome::kUnavailable;
-    }
+    const std::optional<ReserveOutcome> outcome = Decide(*at, now);
     if (!outcome) {
+      tick_again_ |= at->rows_stored < kRowsPerWaiter;
       ++at;
       continue;
     }
     ready.emplace_back(std::move(at->handler), *outcome);
     at = waiters_.erase(at);
   }
-  tick_again_ |= !waiters_.empty();
   for (auto& [handler, outcome] : ready)
     handler(outcome);
 }
 
 void Keeper::ScheduleWaiterCheck() {
-  if (waiters_.empty())
-    return;
-  base::MonoTime first = waiters_.front().until;
-  for (const Waiter& waiter : waiters_)
-    first = std::min(first, waiter.until);
-  waiter_timer_.expires_at(first);
+  waiter_timer_.expires_after(kWaiterCheck);
   waiter_timer_.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
     ServeWaiters();
-    ScheduleWaiterCheck();
+    if (!waiters_.empty())
+      ScheduleWaiterCheck();
   });
 }
 
@@ -386,12 +465,18 @@
 }
 
 void Keeper::ReturnAll(std::function<void()> done) {
-  if (prepaid_.empty() || is_committing_ || last_call_failed_) {
-    // A transaction under way would be overtaken; the successor recovers.
+  if (prepaid_.empty() || last_call_failed_) {
+    // The successor recovers what is left.
     boost::asio::post(loop_, std::move(done));
     return;
   }
   returned_ = std::move(done);
+  if (!is_committing_)
+    CommitReturn();
+}
+
+void Keeper::CommitReturn() {
+  is_return_sent_ = true;
   Commit(ledger_.ProposeReturn(StoreTime()));
 }
 
--- a/src/dandelionmill/prepaid/keeper.h
+++ b/src/dandelionmill/prepaid/keeper.h
@@ -35,6 +35,11 @@
 class Keeper {
  public:
   using Handler = std::function<void(ReserveOutcome)>;
+  // Asks other instances for tokens of an account; the handler gets what they
+  // gave, and never runs from within the call.
+  using Borrower = std::function<void(const base::AccountId&,
+                                      base::Tokens,
+                                      std::function<void(base::Tokens)>)>;
 
   // `loop` and `table` must outlive the keeper.
   Keeper(boost::asio::io_context& loop,
@@ -47,18 +52,27 @@
   void SetAccounts(std::map<base::AccountId, base::Tokens> prepaid);
   // Sets how many instances share the accounts.
   void SetInstances(int instances) { instances_ = instances; }
-  // Stores what is due. Call about once a second.
+  void SetBorrower(Borrower borrower) { borrower_ = std::move(borrower); }
+  // Stores what is due. Call twice in each Ledger::kQuiet.
   void Tick();
   // Reserves tokens at once if it can. Accounts without a limit have them all.
   bool TryReserve(const base::AccountId& account, base::Tokens tokens);
-  // Reserves tokens as soon as they are drawn, or says within `timeout` that it
-  // could not. Returns a number for Cancel; the handler never runs from within
+  // Reserves tokens as soon as they are drawn or borrowed, or says within
+  // `timeout` that it could not. Returns a number for Cancel; the handler never runs from within
   // the call.
   std::uint64_t ReserveLater(const base::AccountId& account,
                              base::Tokens tokens,
                              std::chrono::milliseconds timeout,
                              Handler handler);
   void Cancel(std::uint64_t waiter);
+  // Another instance gave tokens that nobody waits for any more.
+  void OnGiven(const base::AccountId& account, base::Tokens tokens) {
+    ledger_.Borrow(account, tokens);
+  }
+  // Gives up to `tokens` to another instance; the handler gets the number.
+  void Lend(const base::AccountId& account,
+            base::Tokens tokens,
+            std::function<void(base::Tokens)> handler);
   void Settle(const base::AccountId& account,
               base::Tokens reserved,
               base::Tokens used);
@@ -90,6 +104,12 @@
     base::Tokens tokens;
     base::MonoTime until;
     Handler handler;
+    // Waits for another instance, so nothing is drawn or borrowed for it.
+    bool is_lending = false;
+    // Rows stored since it waits.
+    int rows_stored = 0;
+    bool is_borrowing = false;
+    bool has_borrowed = false;
   };
 
   void Commit(Ledger::Proposal proposal);
@@ -103,7 +123,16 @@
   void ReadTotal(const base::AccountId& account);
   bool IsTotalFresh(const base::AccountId& account) const;
   void Finish();
+  void CommitReturn();
+  std::uint64_t AddWaiter(const base::AccountId& account,
+                          base::Tokens tokens,
+                          std::chrono::milliseconds timeout,
+                          bool is_lending,
+                          Handler handler);
   void ServeWaiters();
+  // Returns the outcome of a waiter once it is known.
+  std::optional<ReserveOutcome> Decide(Waiter& waiter, base::MonoTime now);
+  void StartBorrowing(Waiter& waiter, base::Tokens tokens);
   void ScheduleWaiterCheck();
   std::vector<Ledger::AccountView> Views() const;
   std::chrono::milliseconds StoreTime() const;
@@ -131,7 +160,9 @@
   std::list<Waiter> waiters_;
   std::uint64_t next_waiter_ = 1;
   boost::asio::steady_timer waiter_timer_;
+  Borrower borrower_;
   std::function<void()> returned_;
+  bool is_return_sent_ = false;
 };
 
 }  // namespace dandelionmill::prepaid
--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -9,15 +9,16 @@
 
 using std::chrono::duration;
 
-// Over which past the demand on an account is measured.
-constexpr duration<double> kDemandMemory{4.0};
+// Over which past the demand on an account is measured: several requests of the
+// largest kinds at one instance.
+constexpr duration<double> kDemandMemory{8.0};
 
 // Demand that an instance holds ahead while the account has plenty: longer than
 // the store is out of reach on the days that the users describe (9 s).
 constexpr duration<double> kMaxAhead{12.0};
 
 // Demand that an instance keeps when nothing is left to draw.
-constexpr duration<double> kMinAhead{2.0};
+constexpr duration<double> kMinAhead{1.0};
 
 // Share of an account that is not drawn which all instances together hold
 // without any demand, so that a cut right after the start refuses nobody.
@@ -29,16 +30,15 @@
 
 // Part of the target below which tokens are drawn, and above which they are
 // returned: the gap between both keeps tokens from going back and forth.
-constexpr double kDrawBelow = 0.9;
-constexpr double kReturnAbove = 1.3;
+constexpr double kDrawBelow = 0.8;
+constexpr double kReturnAbove = 1.5;
 
-// The promise of a stored row: what may be committed at once, as seconds of
-// demand and as a part of what is held.
-constexpr duration<double> kBurst{1.0};
-constexpr double kBurstOfHeld = 0.05;
-// And per second, as a multiple of the demand and as a part of what is held.
-constexpr double kRateOfDemand = 1.5;
-constexpr double kRateOfHeld = 1.0 / 15;
+// What may be committed without another row, as time of demand: small requests
+// pass at once, large ones wait for a row that lists them.
+constexpr duration<double> kUnlistedDemand{1.0};
+
+// Time in which all that is held may be used after the quiet time.
+constexpr duration<double> kUseUpTime{3.0};
 
 double Seconds(base::BootTime::duration value) {
   return duration<double>(value).count();
@@ -56,7 +56,6 @@
                         base::Tokens tokens,
                         base::BootTime now) {
   Share& share = shares_[account];
-  share.largest = std::max(share.largest, tokens);
   if (Available(account, now) < tokens)
     return false;
   share.reserved += tokens;
@@ -74,13 +73,17 @@
   share.used += std::min(used, reserved);
 }
 
+void Ledger::Borrow(const base::AccountId& account, base::Tokens tokens) {
+  shares_[account].borrowed += tokens;
+}
+
 void Ledger::Recover(const HolderRow& left,
                      std::chrono::milliseconds store_time) {
   if (left.as_of.count() == 0 || store_time.count() == 0)
     return;
   for (const auto& [account, share] : left.shares) {
     shares_[account].recovered =
-        Recoverable(share, store_time - left.as_of);
+        Recoverable(share, store_time - left.as_of - left.quiet);
   }
 }
 
@@ -98,18 +101,22 @@
     ahead = std::clamp(kHeldPerUndrawn * undrawn / (demand * instances),
                        kMinAhead.count(), kMaxAhead.count());
   }
-  const double waited = static_cast<double>(view.waited_for);
-  const double target =
-      std::max({demand * ahead, kIdleShare * undrawn / instances,
-                waited + 2.0 * static_cast<double>(share.largest)});
+  const auto waited = static_cast<double>(view.waited_for);
+  const double target = std::max(
+      {demand * ahead, kIdleShare * undrawn / instances, waited});
   if (held < kDrawBelow * target || held < waited) {
     // Half of what is there at most, so that one instance leaves room for
     // others; requests that wait may take all.
     const double most = std::max(undrawn / 2, std::min(undrawn, waited));
     return static_cast<base::Tokens>(std::min(target - held, most));
   }
-  if (held > kReturnAbove * target)
-    return -static_cast<base::Tokens>(held - target);
+  const auto lendable = static_cast<double>(view.to_lend);
+  if (held - lendable > kReturnAbove * target) {
+    const double most =
+        static_cast<double>(share.held_of_drawn() + share.recovered);
+    return -static_cast<base::Tokens>(
+        std::min(held - lendable - target, most));
+  }
   return 0;
 }
 
@@ -118,6 +125,7 @@
   row.process = process_;
   row.sequence = ++sequence_;
   row.as_of = store_time;
+  row.quiet = kQuiet;
   return row;
 }
 
@@ -128,11 +136,13 @@
   Proposal proposal;
   proposal.row = MakeRow(store_time);
   std::map<base::AccountId, base::Tokens> moves;
+  std::map<base::AccountId, base::Tokens> listed;
   for (const AccountView& view : accounts) {
     const base::Tokens move =
         MoveFor(shares_[view.account], view, std::max(1, instances), now);
     if (move != 0)
       moves[view.account] = move;
+    listed[view.account] = view.waited_for + view.to_lend;
   }
   for (auto& [account, share] : shares_) {
     const auto found = moves.find(account);
@@ -141,13 +151,14 @@
       share.returning -= move;
     HolderShare entry;
     entry.drawn = share.drawn + share.recovered + move;
-    entry.committed = share.committed();
     const double demand = DemandPerSecond(share, now);
-    const auto held = static_cast<double>(entry.drawn - entry.committed);
-    entry.burst = static_cast<base::Tokens>(
-        std::max({demand * kBurst.count(), kBurstOfHeld * held,
-                  1.5 * static_cast<double>(share.largest)}));
-    entry.rate_per_s = std::floor(kRateOfDemand * demand + kRateOfHeld * held);
+    entry.committed =
+        std::min(entry.drawn,
+                 share.committed() + listed[account] +
+                     static_cast<base::Tokens>(demand * kUnlistedDemand.count()));
+    entry.rate_per_s =
+        std::floor(static_cast<double>(entry.drawn - entry.committed) /
+                   kUseUpTime.count());
     if (entry.drawn != 0)
       proposal.row.shares[account] = entry;
   }
@@ -159,7 +170,7 @@
   Proposal proposal;
   proposal.row = MakeRow(store_time);
   for (auto& [account, share] : shares_) {
-    const base::Tokens rest = share.held() + share.recovered;
+    const base::Tokens rest = share.held_of_drawn() + share.recovered;
     if (rest > 0) {
       proposal.moves[account] = -rest;
       share.returning += rest;
@@ -183,8 +194,7 @@
         stored == proposal.row.shares.end() ? HolderShare() : stored->second;
     share.drawn = entry.drawn;
     share.recovered = 0;
-    share.reported = entry.committed;
-    share.burst = entry.burst;
+    share.promised = entry.committed;
     share.rate_per_s = entry.rate_per_s;
     share.stored_at = now;
   }
@@ -203,13 +213,13 @@
   if (found == shares_.end())
     return 0;
   const Share& share = found->second;
+  const double beyond_quiet =
+      std::max(0.0, Seconds(now - share.stored_at - kQuiet));
   const base::Tokens promised =
-      share.reported + share.burst +
-      static_cast<base::Tokens>(
-          std::floor(share.rate_per_s *
-                     std::max(0.0, Seconds(now - share.stored_at)))) -
-      share.committed();
-  return std::max<base::Tokens>(0, std::min(share.held(), promised));
+      share.promised - share.committed() +
+      static_cast<base::Tokens>(std::floor(share.rate_per_s * beyond_quiet));
+  return share.borrowed_left() +
+         std::max<base::Tokens>(0, std::min(share.held_of_drawn(), promised));
 }
 
 base::Tokens Ledger::Held(const base::AccountId& account) const {
@@ -222,14 +232,6 @@
   return found == shares_.end() ? 0 : found->second.used;
 }
 
-bool Ledger::IsReportDue(base::BootTime now) const {
-  return std::any_of(shares_.begin(), shares_.end(), [&](const auto& item) {
-    const Share& share = item.second;
-    return share.burst > 0 && share.held() > share.burst / 2 &&
-           Available(item.first, now) < share.burst / 2;
-  });
-}
-
 std::vector<base::AccountId> Ledger::Accounts() const {
   std::vector<base::AccountId> accounts;
   for (const auto& [account, share] : shares_)
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -1,6 +1,7 @@
 #ifndef SRC_DANDELIONMILL_PREPAID_LEDGER_H_
 #define SRC_DANDELIONMILL_PREPAID_LEDGER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <string>
@@ -14,19 +15,27 @@
 namespace dandelionmill::prepaid {
 
 // What this process may use of the client accounts' prepaid tokens. Tokens are
-// usable once a stored row says that they were drawn here, and only as fast as
+// usable once a stored row says that they were drawn here, and only as far as
 // that row promises, so that a successor can tell what an ended process cannot
-// have used. Pure; the keeper stores what it proposes.
+// have used: what the row lists as committed, and more only after the store has
+// been out of reach for the quiet time. Pure; the keeper stores what it
+// proposes.
 class Ledger {
  public:
+  // How long after a stored row no more than it lists is committed. Rows are
+  // stored more often than this while the store answers.
+  static constexpr std::chrono::milliseconds kQuiet{1000};
+
   // What the keeper knows of an account when it asks for a proposal.
   struct AccountView {
     base::AccountId account;
     base::Tokens prepaid = 0;
     // The stored total, as last seen.
     base::Tokens drawn = 0;
-    // Tokens that requests wait for here.
+    // Tokens of requests that wait here, which are drawn if need be.
     base::Tokens waited_for = 0;
+    // Tokens that others want to borrow.
+    base::Tokens to_lend = 0;
   };
 
   // A change of the stored rows.
@@ -49,6 +58,13 @@
   void Settle(const base::AccountId& account,
               base::Tokens reserved,
               base::Tokens used);
+  // Gives reserved tokens to another instance.
+  void GiveAway(const base::AccountId& account, base::Tokens reserved) {
+    Settle(account, reserved, reserved);
+  }
+  // Adds tokens that another instance gave away. They are in no row, so a
+  // successor does not find them.
+  void Borrow(const base::AccountId& account, base::Tokens tokens);
   // Takes over what an ended process of this instance left, `store_time` by the
   // store's clock. It becomes usable with the next stored proposal.
   void Recover(const HolderRow& left, std::chrono::milliseconds store_time);
@@ -73,10 +89,8 @@
                          base::BootTime now) const;
   // Tokens held and not committed, whether or not they may be used yet.
   base::Tokens Held(const base::AccountId& account) const;
-  // Tokens used here since the process started.
+  // Tokens used here, or given away, since the process started.
   base::Tokens Used(const base::AccountId& account) const;
-  // Whether more than half of what the stored row promises has been committed.
-  bool IsReportDue(base::BootTime now) const;
   std::vector<base::AccountId> Accounts() const;
 
  private:
@@ -87,20 +101,29 @@
     base::Tokens returning = 0;
     // Left by an ended process; becomes part of `drawn` when stored.
     base::Tokens recovered = 0;
+    // Given by other instances.
+    base::Tokens borrowed = 0;
     base::Tokens used = 0;
     base::Tokens reserved = 0;
     // The promise of the stored row.
-    base::Tokens reported = 0;
-    base::Tokens burst = 0;
+    base::Tokens promised = 0;
     double rate_per_s = 0;
     base::BootTime stored_at{};
     // Tokens reserved, decaying with kDemandMemory.
     double recent = 0;
     base::BootTime recent_at{};
-    base::Tokens largest = 0;
 
-    base::Tokens committed() const { return used + reserved; }
-    base::Tokens held() const { return drawn - returning - committed(); }
+    // Borrowed tokens are used first; only the rest counts against `drawn`.
+    base::Tokens committed() const {
+      return std::max<base::Tokens>(0, used + reserved - borrowed);
+    }
+    base::Tokens borrowed_left() const {
+      return std::max<base::Tokens>(0, borrowed - used - reserved);
+    }
+    base::Tokens held_of_drawn() const {
+      return drawn - returning - committed();
+    }
+    base::Tokens held() const { return held_of_drawn() + borrowed_left(); }
   };
 
   static double DemandPerSecond(const Share& share, base::BootTime now);
--- a/src/dandelionmill/prepaid/rows.cc
+++ b/src/dandelionmill/prepaid/rows.cc
@@ -25,12 +25,13 @@
 std::string Encode(const HolderRow& row) {
   json shares = json::object();
   for (const auto& [account, share] : row.shares) {
-    shares[account.value()] = {share.drawn, share.committed, share.burst,
+    shares[account.value()] = {share.drawn, share.committed,
                                std::llround(share.rate_per_s)};
   }
   return json{{"process", row.process},
               {"sequence", row.sequence},
               {"as_of_ms", row.as_of.count()},
+              {"quiet_ms", row.quiet.count()},
               {"shares", std::move(shares)}}
       .dump();
 }
@@ -52,10 +53,12 @@
     row.sequence = object.at("sequence").get<std::uint64_t>();
     row.as_of =
         std::chrono::milliseconds(object.at("as_of_ms").get<std::int64_t>());
+    row.quiet =
+        std::chrono::milliseconds(object.at("quiet_ms").get<std::int64_t>());
     for (const auto& [name, value] : object.at("shares").items()) {
       row.shares[base::AccountId(name)] = {
           value.at(0).get<base::Tokens>(), value.at(1).get<base::Tokens>(),
-          value.at(2).get<base::Tokens>(), value.at(3).get<double>()};
+          value.at(2).get<double>()};
     }
     return row;
   } catch (const json::exception& error) {
@@ -64,13 +67,12 @@
 }
 
 base::Tokens Recoverable(const HolderShare& share,
-                         std::chrono::milliseconds elapsed) {
+                         std::chrono::milliseconds beyond_quiet) {
   const double seconds =
-      std::max(0.0, std::chrono::duration<double>(elapsed).count());
+      std::max(0.0, std::chrono::duration<double>(beyond_quiet).count());
   const auto later = static_cast<base::Tokens>(
       std::ceil(share.rate_per_s * seconds * kClockDrift));
-  return std::max<base::Tokens>(
-      0, share.drawn - share.committed - share.burst - later);
+  return std::max<base::Tokens>(0, share.drawn - share.committed - later);
 }
 
 }  // namespace dandelionmill::prepaid
--- a/src/dandelionmill/prepaid/rows.h
+++ b/src/dandelionmill/prepaid/rows.h
@@ -23,11 +23,10 @@
 struct HolderShare {
   // Tokens drawn by this process and not returned.
   base::Tokens drawn = 0;
-  // Tokens used or reserved when the row was written.
+  // Tokens of these that the process may have used or reserved before it stores
+  // its next row, unless it is quiet for long.
   base::Tokens committed = 0;
-  // Until the next row is stored the process commits at most `burst` more, and
-  // `rate_per_s` for each second since `as_of`.
-  base::Tokens burst = 0;
+  // What it may commit beyond these in each second after HolderRow::quiet.
   double rate_per_s = 0;
 };
 
@@ -41,6 +40,9 @@
   // The store's steady clock, not later than when the row was stored. 0 when it
   // was not known.
   std::chrono::milliseconds as_of{0};
+  // How long after `as_of` the process keeps to `committed` without storing
+  // another row.
+  std::chrono::milliseconds quiet{0};
   std::map<base::AccountId, HolderShare> shares;
 };
 
@@ -52,9 +54,10 @@
 base::Result<HolderRow> DecodeHolderRow(const std::string& text);
 
 // Returns what a process that is known to have ended has certainly not used of
-// `share`, `elapsed` after the row's `as_of` by the store's clock.
+// `share`, `beyond_quiet` after the end of the row's quiet time by the store's
+// clock.
 base::Tokens Recoverable(const HolderShare& share,
-                         std::chrono::milliseconds elapsed);
+                         std::chrono::milliseconds beyond_quiet);
 
 }  // namespace dandelionmill::prepaid
 
