--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -133,6 +133,9 @@
                              std::function<void(base::Tokens)> handler) {
     borrower_.Borrow(account, tokens, std::move(handler));
   });
+  keeper_.SetGiver([this](const base::AccountId& account, base::Tokens tokens) {
+    borrower_.Give(account, tokens);
+  });
   log::Event(log::Level::kInfo, "started")
       .With("process", process_)
       .With("zone", settings_.zone)
@@ -183,18 +186,23 @@
   const FleetConfigPtr& config = base::ValueOf(decoded);
   if (core_.config && config->version() <= core_.config->version())
     return;
+  std::map<base::AccountId, base::Tokens> prepaid;
+  base::Tokens prepaid_total = 0;
+  for (const ClientAccount& account : config->accounts()) {
+    if (account.prepaid) {
+      prepaid[account.id] = *account.prepaid;
+      prepaid_total += *account.prepaid;
+    }
+  }
   log::Event(log::Level::kInfo, "config_in_force")
       .With("from", core_.config ? core_.config->version() : 0)
       .With("version", config->version())
       .With("routes", config->routes().size())
+      .With("accounts", config->accounts().size())
+      .With("prepaid_total", prepaid_total)
       .With("row_version", row.version);
   core_.config = config;
   core_.metrics.OnConfigVersion(static_cast<std::int64_t>(config->version()));
-  std::map<base::AccountId, base::Tokens> prepaid;
-  for (const ClientAccount& account : config->accounts()) {
-    if (account.prepaid)
-      prepaid[account.id] = *account.prepaid;
-  }
   keeper_.SetAccounts(std::move(prepaid));
   for (const auto& [id, service] : config->services()) {
     if (service.engine)
@@ -343,6 +351,8 @@
     for (const auto& [key, session] : sessions)
       session->CloseIfIdle();
   }
+  if (passed >= kRotationTime)
+    keeper_.BeginReturn();
   const bool out_of_time = passed >= settings_.shutdown_grace - kLastWords;
   if ((passed < kRotationTime || core_.open_exchanges > 0) && !out_of_time)
     return;
--- a/src/dandelionmill/peer/borrower.cc
+++ b/src/dandelionmill/peer/borrower.cc
@@ -13,6 +13,21 @@
 
 }  // namespace
 
+std::vector<Instance> Borrower::InOrder() {
+  std::vector<Instance> order = instances_;
+  std::shuffle(order.begin(), order.end(), random_);
+  std::stable_partition(
+      order.begin(), order.end(),
+      [this](const Instance& instance) { return instance.zone != zone_; });
+  return order;
+}
+
+void Borrower::Give(const base::AccountId& account, base::Tokens tokens) {
+  const std::vector<Instance> order = InOrder();
+  if (!order.empty())
+    port_.Give(order.back().address, account, tokens);
+}
+
 void Borrower::Borrow(const base::AccountId& account,
                       base::Tokens tokens,
                       std::function<void(base::Tokens)> handler) {
@@ -20,15 +35,9 @@
   round->account = account;
   round->missing = tokens;
   round->handler = std::move(handler);
-  round->left = instances_;
-  std::shuffle(round->left.begin(), round->left.end(), random_);
-  std::stable_partition(
-      round->left.begin(), round->left.end(),
-      [this](const Instance& instance) { return instance.zone == zone_; });
+  round->left = InOrder();
   if (round->left.size() > kMaxAsked)
-    round->left.resize(kMaxAsked);
-  // Asked for from the back.
-  std::reverse(round->left.begin(), round->left.end());
+    round->left.erase(round->left.begin(), round->left.end() - kMaxAsked);
   if (round->left.empty()) {
     boost::asio::post(loop_, [round] { round->handler(0); });
     return;
--- a/src/dandelionmill/peer/borrower.h
+++ b/src/dandelionmill/peer/borrower.h
@@ -41,8 +41,13 @@
   void Borrow(const base::AccountId& account,
               base::Tokens tokens,
               std::function<void(base::Tokens)> handler);
+  // Gives tokens to some instance, of the own availability zone if there is one.
+  void Give(const base::AccountId& account, base::Tokens tokens);
 
  private:
+  // Returns all instances in the order in which they are asked, last first.
+  std::vector<Instance> InOrder();
+
   struct Round {
     base::AccountId account;
     base::Tokens missing = 0;
--- a/src/dandelionmill/peer/lending_port.cc
+++ b/src/dandelionmill/peer/lending_port.cc
@@ -70,7 +70,10 @@
     const auto tokens = message.at("tokens").get<base::Tokens>();
     if (tokens < 0)
       return;
-    if (message.contains("account")) {
+    if (message.contains("gift_for")) {
+      late_(base::AccountId(message["gift_for"].get<std::string>()),
+            tokens);
+    } else if (message.contains("account")) {
       OnQuestion(number,
                  base::AccountId(message["account"].get<std::string>()),
                  tokens, from_);
@@ -142,6 +145,21 @@
              .dump());
 }
 
+void LendingPort::Give(const net::Address& instance,
+                       const base::AccountId& account,
+                       base::Tokens tokens) {
+  log::Event(log::Level::kInfo, "prepaid_given")
+      .With("account", account)
+      .With("to", net::ToString(instance))
+      .With("tokens", tokens);
+  SendTo(udp::endpoint(asio::ip::make_address(instance.host),
+                       static_cast<unsigned short>(instance.port)),
+         json{{"number", next_number_++},
+              {"gift_for", account.value()},
+              {"tokens", tokens}}
+             .dump());
+}
+
 void LendingPort::SendTo(const udp::endpoint& to, const std::string& text) {
   error_code error;
   socket_.send_to(asio::buffer(text), to, 0, error);
--- a/src/dandelionmill/peer/lending_port.h
+++ b/src/dandelionmill/peer/lending_port.h
@@ -28,7 +28,8 @@
   // Gives away up to so many tokens and tells the number.
   using Lender = std::function<void(const base::AccountId&, base::Tokens,
                                     Granted)>;
-  // Takes tokens that came after the asker had stopped waiting.
+  // Takes tokens for which nobody waits: given without a question, or after the
+  // asker had stopped waiting.
   using Late = std::function<void(const base::AccountId&, base::Tokens)>;
 
   // `loop` must outlive the port.
@@ -43,6 +44,11 @@
            base::Tokens tokens,
            std::chrono::milliseconds timeout,
            Granted handler);
+  // Gives tokens to an instance that did not ask. They are lost if the datagram
+  // is.
+  void Give(const net::Address& instance,
+            const base::AccountId& account,
+            base::Tokens tokens);
   void Stop();
 
  private:
--- a/src/dandelionmill/prepaid/keeper.cc
+++ b/src/dandelionmill/prepaid/keeper.cc
@@ -39,6 +39,9 @@
 // each other spread out.
 constexpr int kMaxConflictsInARow = 4;
 
+// Attempts to return tokens at the end of the process.
+constexpr int kMaxReturnAttempts = 12;
+
 }  // namespace
 
 const char* ToString(ReserveOutcome outcome) {
@@ -118,8 +121,9 @@
   }
   if (prepaid_.empty() || returned_)
     return;
-  Commit(ledger_.Propose(Views(), instances_, StoreTime(),
-                         base::BootClock::now()));
+  Commit(is_returning_ ? ledger_.ProposeReturn(StoreTime())
+                       : ledger_.Propose(Views(), instances_, StoreTime(),
+                                         base::BootClock::now()));
 }
 
 storage::RowChange Keeper::MakeChange(const Ledger::Proposal& proposal) const {
@@ -228,10 +232,8 @@
   if (!has_holder_row)
     holder_version_ = 0;
   ++conflicts_in_a_row_;
-  if (conflicts_in_a_row_ <= kMaxConflictsInARow)
+  if (conflicts_in_a_row_ % kMaxConflictsInARow != 0)
     tick_again_ = true;
-  else
-    conflicts_in_a_row_ = 0;
 }
 
 void Keeper::LearnHolderRow(const storage::VersionedRow& row) {
@@ -246,10 +248,14 @@
   }
   const HolderRow& stored = base::ValueOf(decoded);
   if (stored.process != ledger_.process()) {
-    ledger_.Recover(stored, StoreTime());
+    base::Tokens left = 0;
+    for (const auto& [account, share] : stored.shares)
+      left += share.drawn - share.committed;
     log::Event(log::Level::kInfo, "prepaid_recovered")
         .With("from_process", stored.process)
         .With("row_age_ms", StoreTime() - stored.as_of)
+        .With("left", left)
+        .With("recovered", ledger_.Recover(stored, StoreTime()))
         .With("accounts", stored.shares.size());
     return;
   }
@@ -308,12 +314,15 @@
 
 void Keeper::Finish() {
   ServeWaiters();
-  if (returned_ && !is_return_sent_) {
-    CommitReturn();
-    return;
-  }
   if (returned_) {
-    std::exchange(returned_, nullptr)();
+    // Other instances move tokens at the same time.
+    const bool lost_a_race = conflicts_in_a_row_ > 0;
+    if (return_attempts_ == 0 ||
+        (lost_a_race && return_attempts_ < kMaxReturnAttempts)) {
+      CommitReturn();
+    } else {
+      std::exchange(returned_, nullptr)();
+    }
     return;
   }
   if (std::exchange(tick_again_, false) && !last_call_failed_)
@@ -466,17 +475,32 @@
 
 void Keeper::ReturnAll(std::function<void()> done) {
   if (prepaid_.empty() || last_call_failed_) {
-    // The successor recovers what is left.
+    GiveAwayAll();
     boost::asio::post(loop_, std::move(done));
     return;
   }
+  is_returning_ = true;
+  return_attempts_ = 0;
   returned_ = std::move(done);
   if (!is_committing_)
     CommitReturn();
 }
 
+void Keeper::GiveAwayAll() {
+  if (!giver_)
+    return;
+  const base::BootTime now = base::BootClock::now();
+  for (const base::AccountId& account : ledger_.Accounts()) {
+    const base::Tokens tokens = ledger_.Available(account, now);
+    if (tokens > 0 && ledger_.TryReserve(account, tokens, now)) {
+      ledger_.GiveAway(account, tokens);
+      giver_(account, tokens);
+    }
+  }
+}
+
 void Keeper::CommitReturn() {
-  is_return_sent_ = true;
+  ++return_attempts_;
   Commit(ledger_.ProposeReturn(StoreTime()));
 }
 
--- a/src/dandelionmill/prepaid/keeper.h
+++ b/src/dandelionmill/prepaid/keeper.h
@@ -53,6 +53,11 @@
   // Sets how many instances share the accounts.
   void SetInstances(int instances) { instances_ = instances; }
   void SetBorrower(Borrower borrower) { borrower_ = std::move(borrower); }
+  // Sets how tokens are given to another instance when the process ends while
+  // the store is out of reach.
+  void SetGiver(std::function<void(const base::AccountId&, base::Tokens)> giver) {
+    giver_ = std::move(giver);
+  }
   // Stores what is due. Call twice in each Ledger::kQuiet.
   void Tick();
   // Reserves tokens at once if it can. Accounts without a limit have them all.
@@ -76,8 +81,10 @@
   void Settle(const base::AccountId& account,
               base::Tokens reserved,
               base::Tokens used);
-  // Returns all that is unused to the store, then calls `done` however that
-  // ended. Nothing may be reserved afterwards.
+  // Returns what is unused with each tick from now on and draws nothing more.
+  void BeginReturn() { is_returning_ = true; }
+  // Returns all that is unused to the store, or gives it to another instance
+  // while the store is out of reach, then calls `done` however that ended. Nothing may be reserved afterwards.
   void ReturnAll(std::function<void()> done);
 
   // Queries.
@@ -124,6 +131,7 @@
   bool IsTotalFresh(const base::AccountId& account) const;
   void Finish();
   void CommitReturn();
+  void GiveAwayAll();
   std::uint64_t AddWaiter(const base::AccountId& account,
                           base::Tokens tokens,
                           std::chrono::milliseconds timeout,
@@ -161,8 +169,10 @@
   std::uint64_t next_waiter_ = 1;
   boost::asio::steady_timer waiter_timer_;
   Borrower borrower_;
+  std::function<void(const base::AccountId&, base::Tokens)> giver_;
   std::function<void()> returned_;
-  bool is_return_sent_ = false;
+  bool is_returning_ = false;
+  int return_attempts_ = 0;
 };
 
 }  // namespace dandelionmill::prepaid
--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -37,8 +37,10 @@
 // pass at once, large ones wait for a row that lists them.
 constexpr duration<double> kUnlistedDemand{1.0};
 
-// Time in which all that is held may be used after the quiet time.
-constexpr duration<double> kUseUpTime{3.0};
+// What may be used in each second after the quiet time: a multiple of the
+// demand, and a part of what is held. Lower ones let a successor recover more.
+constexpr double kRateOfDemand = 1.5;
+constexpr double kRateOfHeld = 1.0 / 8;
 
 double Seconds(base::BootTime::duration value) {
   return duration<double>(value).count();
@@ -77,14 +79,18 @@
   shares_[account].borrowed += tokens;
 }
 
-void Ledger::Recover(const HolderRow& left,
-                     std::chrono::milliseconds store_time) {
+base::Tokens Ledger::Recover(const HolderRow& left,
+                             std::chrono::milliseconds store_time) {
   if (left.as_of.count() == 0 || store_time.count() == 0)
-    return;
+    return 0;
+  base::Tokens sum = 0;
   for (const auto& [account, share] : left.shares) {
-    shares_[account].recovered =
+    const base::Tokens recovered =
         Recoverable(share, store_time - left.as_of - left.quiet);
+    shares_[account].recovered = recovered;
+    sum += recovered;
   }
+  return sum;
 }
 
 base::Tokens Ledger::MoveFor(const Share& share,
@@ -156,9 +162,9 @@
         std::min(entry.drawn,
                  share.committed() + listed[account] +
                      static_cast<base::Tokens>(demand * kUnlistedDemand.count()));
-    entry.rate_per_s =
-        std::floor(static_cast<double>(entry.drawn - entry.committed) /
-                   kUseUpTime.count());
+    entry.rate_per_s = std::floor(std::max(
+        kRateOfDemand * demand,
+        kRateOfHeld * static_cast<double>(entry.drawn - entry.committed)));
     if (entry.drawn != 0)
       proposal.row.shares[account] = entry;
   }
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -66,8 +66,9 @@
   // successor does not find them.
   void Borrow(const base::AccountId& account, base::Tokens tokens);
   // Takes over what an ended process of this instance left, `store_time` by the
-  // store's clock. It becomes usable with the next stored proposal.
-  void Recover(const HolderRow& left, std::chrono::milliseconds store_time);
+  // store's clock. It becomes usable with the next stored proposal. Returns how
+  // many tokens these are.
+  base::Tokens Recover(const HolderRow& left, std::chrono::milliseconds store_time);
   // Returns what should be stored next, given the number of instances that
   // share the accounts. Tokens that it returns are not usable from now on.
   Proposal Propose(const std::vector<AccountView>& accounts,
