--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -54,6 +54,11 @@
 // for connections that its side has not yet closed.
 constexpr double kConnectionShare = 0.9;
 
+// Bytes of the header fields of a request and its answer, and of each output
+// token with its share of an event.
+constexpr std::size_t kFieldBytes = 1000;
+constexpr std::size_t kBytesPerOutputToken = 16;
+
 // Returns whether `id` is a number not above `last`.
 bool IsRepeated(const std::string& id, const std::string& last) {
   std::uint64_t a = 0;
@@ -194,6 +199,12 @@
   request.max_in_flight = std::max(
       2, static_cast<int>(kConnectionShare * service_->max_connections /
                           std::max(1, core_.instances)));
+  request.latency_objective = route_->latency_objective;
+  request.bytes = request_.body().size() + kFieldBytes;
+  if (terms_.model) {
+    request.bytes += kBytesPerOutputToken *
+                     static_cast<std::size_t>(terms_.model->max_output_tokens);
+  }
   const base::MonoTime now = steady_clock::now();
   const auto choice = core_.placement.Choose(
       core_.directory.Usable(service_->id), request, now);
@@ -208,6 +219,7 @@
   }
   backend_ = *choice->backend;
   uncached_tokens_ = choice->uncached_tokens;
+  expected_wait_ = choice->expected_wait;
   tried_.insert(backend_->id);
   core_.placement.OnSent(*backend_, request.model, uncached_tokens_, now);
   attempt_open_ = true;
@@ -364,7 +376,7 @@
   if (std::exchange(prompt_open_, false)) {
     core_.placement.OnFirstEvent(
         backend_->id, uncached_tokens_,
-        duration_cast<milliseconds>(now - sent_at_), now);
+        duration_cast<milliseconds>(now - sent_at_), expected_wait_, now);
   }
   if (events_ == 0)
     first_event_at_ = now;
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -116,6 +116,7 @@
   // The attempt under way.
   std::optional<BackendEntry> backend_;
   base::Tokens uncached_tokens_ = 0;
+  std::chrono::milliseconds expected_wait_{0};
   std::shared_ptr<BackendCall> call_;
   bool attempt_open_ = false;
   bool prompt_open_ = false;
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -24,9 +24,26 @@
 // Time of a plain service's request, for the queue in front of it.
 constexpr double kPlainWorkMs = 40;
 
-// Cost of leaving the availability zone: the way there and back between
-// regions, and the price of the traffic.
-constexpr double kOtherZoneMs = 45;
+// Wait for the way to another availability zone and back.
+constexpr double kOtherZoneMs = 16;
+
+// Costs are in bytes between zones, the unit that the users price. Their site
+// files price 1,000 tokens of a shared part that is read again like 47 kB
+// between regions, and a request of ordinary worth that comes late like 200 kB.
+constexpr double kReadAgainPerToken = 47;
+constexpr double kLateCost = 200e3;
+constexpr double kFailureCost = 250e3;
+// Waiting costs a little even when the answer is in time, since it makes
+// others wait.
+constexpr double kWaitCostPerMs = 20;
+
+// Part of the latency objective up to which an answer is surely in time, and the
+// most that a late one counts.
+constexpr double kSafePart = 0.4;
+constexpr double kMaxLateRisk = 6;
+
+// Shared prompts whose distance is remembered.
+constexpr std::size_t kMaxDistances = 8192;
 
 // How long a reported load counts in full; it fades over as long again.
 constexpr milliseconds kLoadFresh{1500};
@@ -35,21 +52,19 @@
 constexpr duration<double> kFailureMemory{4.0};
 // Weight of one more outcome in the failure share.
 constexpr double kFailureWeight = 0.2;
-// Cost of an expected failure: about the latency objective of a plain service.
-constexpr double kFailureMs = 600;
 
 constexpr milliseconds kFirstAvoid{250};
 constexpr milliseconds kMaxAvoid{2000};
 // Pause after a backend server said that it is full.
 constexpr milliseconds kFullPause{60};
 
-// Weight of one more wait in the slowness, and its bounds.
-constexpr double kSlownessWeight = 0.1;
+// How much one wait changes the slowness, how fast that fades, and its bounds.
+constexpr double kSlownessWeight = 0.15;
+constexpr duration<double> kSlownessMemory{5.0};
+constexpr double kMinSlowness = 0.3;
 constexpr double kMaxSlowness = 8;
-
-// Preference for the backend server that all instances would choose for a
-// prompt, in prompt tokens, so that equal prompts meet without talking.
-constexpr double kAffinityShare = 0.7;
+// Added to both waits that are compared, so that short ones weigh little.
+constexpr double kSlownessFloorMs = 40;
 
 // Random part of the cost, so that instances with the same view spread out.
 constexpr double kJitter = 0.08;
@@ -135,15 +150,23 @@
 void Placement::OnFirstEvent(const base::BackendId& backend,
                              base::Tokens uncached_tokens,
                              milliseconds waited,
+                             milliseconds expected,
                              base::MonoTime now) {
   OnPromptDropped(backend, uncached_tokens);
   State& state = states_[backend];
   state.alive_at = now;
-  const double expected =
-      50 + static_cast<double>(uncached_tokens) / kPromptTokensPerMs;
-  const double ratio = std::clamp(
-      static_cast<double>(waited.count()) / expected, 0.5, kMaxSlowness);
-  state.slowness += kSlownessWeight * (ratio - state.slowness);
+  const double ratio =
+      (static_cast<double>(waited.count()) + kSlownessFloorMs) /
+      (static_cast<double>(expected.count()) + kSlownessFloorMs);
+  state.slowness = std::clamp(
+      Slowness(state, now) * std::pow(ratio, kSlownessWeight), kMinSlowness,
+      kMaxSlowness);
+  state.slowness_at = now;
+}
+
+double Placement::Slowness(const State& state, base::MonoTime now) const {
+  const duration<double> age = now - state.slowness_at;
+  return std::pow(state.slowness, std::exp(-age / kSlownessMemory));
 }
 
 void Placement::OnEnded(const base::BackendId& backend,
@@ -233,35 +256,75 @@
     wait = kPlainWorkMs * (1 + std::max(0.0, in_flight + 1 - slots)) +
            kPlainWorkMs * 0.5 * in_flight / slots;
   }
-  wait *= state.slowness;
+  wait *= Slowness(state, now);
+  if (backend.zone != request.zone)
+    wait += kOtherZoneMs;
   if (backend.warm_up_left.count() > 0)
     wait *= 1.5;
   return wait;
 }
 
+Placement::SharedPrompt Placement::FindShared(
+    const std::vector<const BackendEntry*>& usable,
+    const PlacementRequest& request) const {
+  SharedPrompt shared;
+  if (request.model == nullptr || request.model->parts.size() < 2)
+    return shared;
+  const std::vector<PromptPart>& parts = request.model->parts;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+    shared.tokens += parts[i].tokens;
+  shared.key = parts[parts.size() - 2].id;
+  std::uint64_t highest = 0;
+  for (const BackendEntry* backend : usable) {
+    const std::uint64_t rank =
+        base::StableHash(shared.key + "/" + backend->id.value());
+    if (shared.home == nullptr || rank > highest) {
+      shared.home = backend;
+      highest = rank;
+    }
+  }
+  return shared;
+}
+
+double Placement::ReadAgainCost(const BackendEntry& backend,
+                                const State& state,
+                                const PlacementRequest& request,
+                                const SharedPrompt& shared) const {
+  if (shared.tokens == 0 || &backend == shared.home)
+    return 0;
+  const base::Tokens cached =
+      std::min(shared.tokens, state.prompts.CachedTokens(request.model->parts));
+  double cost =
+      kReadAgainPerToken * static_cast<double>(shared.tokens - cached);
+  // A copy in the own zone has been paid for by the traffic that it saves.
+  const auto paid = distance_paid_.find(shared.key);
+  if (backend.zone == request.zone && paid != distance_paid_.end())
+    cost -= paid->second;
+  return std::max(0.0, cost);
+}
+
+void Placement::ChargeDistance(const PlacementChoice& choice,
+                               const PlacementRequest& request,
+                               const SharedPrompt& shared) {
+  if (shared.tokens == 0)
+    return;
+  if (choice.backend->zone == request.zone) {
+    if (!choice.is_home)
+      distance_paid_.erase(shared.key);
+    return;
+  }
+  if (distance_paid_.size() >= kMaxDistances)
+    distance_paid_.clear();
+  distance_paid_[shared.key] += static_cast<double>(request.bytes);
+}
+
 std::optional<PlacementChoice> Placement::Choose(
     const std::vector<const BackendEntry*>& usable,
     const PlacementRequest& request,
     base::MonoTime now) {
-  // The part that most identifies what other requests share with this one.
-  const PromptPart* shared = nullptr;
-  if (request.model != nullptr && !request.model->parts.empty()) {
-    const auto& parts = request.model->parts;
-    shared = parts.size() > 1 ? &parts[parts.size() - 2] : &parts.back();
-  }
-  const BackendEntry* preferred = nullptr;
-  if (shared != nullptr) {
-    std::uint64_t highest = 0;
-    for (const BackendEntry* backend : usable) {
-      const std::uint64_t weight =
-          base::StableHash(shared->id + "/" + backend->id.value());
-      if (backend->zone == request.zone &&
-          (preferred == nullptr || weight > highest)) {
-        preferred = backend;
-        highest = weight;
-      }
-    }
-  }
+  const SharedPrompt shared = FindShared(usable, request);
+  const double objective =
+      std::max<double>(1, static_cast<double>(request.latency_objective.count()));
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
   std::optional<PlacementChoice> best;
   double best_cost = 0;
@@ -274,29 +337,37 @@
           state.in_flight >= request.max_in_flight)
         continue;
       base::Tokens uncached = 0;
-      double affinity = 0;
       if (request.model != nullptr) {
-        uncached = std::max<base::Tokens>(
-            1, request.model->prompt_tokens -
-                   state.prompts.CachedTokens(request.model->parts));
-        if (backend == preferred)
-          affinity = kAffinityShare * static_cast<double>(shared->tokens) /
-                     kPromptTokensPerMs;
+        base::Tokens cached = state.prompts.CachedTokens(request.model->parts);
+        if (backend == shared.home)
+          cached = std::max(cached, shared.tokens);
+        uncached =
+            std::max<base::Tokens>(1, request.model->prompt_tokens - cached);
       }
-      const double wait =
-          ExpectedWaitMs(*backend, state, request, uncached, now);
-      const double cost = jitter(random_) * wait - affinity +
-                          kFailureMs * FailureShare(state, now) +
-                          (backend->zone == request.zone ? 0 : kOtherZoneMs);
+      const double wait = jitter(random_) * ExpectedWaitMs(*backend, state,
+                                                           request, uncached,
+                                                           now);
+      const double late =
+          std::clamp((wait / objective - kSafePart) / (1 - kSafePart), 0.0,
+                     kMaxLateRisk);
+      const double cost =
+          kLateCost * late + kWaitCostPerMs * wait +
+          ReadAgainCost(*backend, state, request, shared) +
+          kFailureCost * FailureShare(state, now) +
+          (backend->zone == request.zone ? 0
+                                         : static_cast<double>(request.bytes));
       if (!best || cost < best_cost) {
         best = PlacementChoice{
-            backend, milliseconds(static_cast<std::int64_t>(wait)), uncached};
+            backend, milliseconds(static_cast<std::int64_t>(wait)), uncached,
+            backend == shared.home};
         best_cost = cost;
       }
     }
     if (best)
       break;
   }
+  if (best)
+    ChargeDistance(*best, request, shared);
   return best;
 }
 
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -56,6 +56,10 @@
   // Keeps the connection limits of the backend servers: connections that this
   // instance may have to one of them.
   int max_in_flight = 1 << 20;
+  // Wait up to which the caller is served in time.
+  std::chrono::milliseconds latency_objective{1000};
+  // Bytes of the request and, as far as can be told, of its answer.
+  std::size_t bytes = 0;
 };
 
 struct PlacementChoice {
@@ -64,6 +68,9 @@
   std::chrono::milliseconds expected_wait{0};
   // Prompt tokens that must be read, as far as is known.
   base::Tokens uncached_tokens = 0;
+  // Where all instances would send requests with this prompt if nothing spoke
+  // against it.
+  bool is_home = false;
 };
 
 // How requests went at one backend server as seen from this instance.
@@ -79,10 +86,14 @@
   kAbandoned,
 };
 
-// Decides which backend server gets a request: the one where it is expected to
-// be answered first, given the requests that this instance has there, what the
-// backend server last said about its load, the prompt parts that it has cached,
-// recent failures, and the way there. Pure but for its random tie-breaking.
+// Decides which backend server gets a request: the one where it costs least. The
+// cost weighs the risk of a late answer, given the requests that this instance
+// has there and what the backend server last said about its load, against shared
+// prompt parts that would be read again, traffic between availability zones, and
+// recent failures. Each shared prompt has a home, the backend server that ranks
+// first by hash, so that instances agree on it without talking; one that is asked
+// for often from another zone is copied there once the traffic has cost as much
+// as reading it. Pure but for its random tie-breaking.
 class Placement {
  public:
   explicit Placement(std::uint64_t seed) : random_(seed) {}
@@ -99,6 +110,7 @@
   void OnFirstEvent(const base::BackendId& backend,
                     base::Tokens uncached_tokens,
                     std::chrono::milliseconds waited,
+                    std::chrono::milliseconds expected,
                     base::MonoTime now);
   void OnEnded(const base::BackendId& backend,
                AttemptEnd end,
@@ -140,22 +152,44 @@
     // Not used before.
     base::MonoTime avoid_until{};
     int failures_in_a_row = 0;
-    // Waits over what was expected, decaying mean.
+    // Waits over what is expected of any backend server, as a factor that fades.
     double slowness = 1;
+    base::MonoTime slowness_at{};
     base::MonoTime alive_at{};
     PromptMemory prompts;
   };
 
+  // The part of a prompt that requests share, as the placement sees it.
+  struct SharedPrompt {
+    // The last shared part; empty when nothing is shared.
+    std::string key;
+    base::Tokens tokens = 0;
+    const BackendEntry* home = nullptr;
+  };
+
   State& StateOf(const BackendEntry& backend);
   double FailureShare(const State& state, base::MonoTime now) const;
+  double Slowness(const State& state, base::MonoTime now) const;
+  SharedPrompt FindShared(const std::vector<const BackendEntry*>& usable,
+                          const PlacementRequest& request) const;
   double ExpectedWaitMs(const BackendEntry& backend,
                         const State& state,
                         const PlacementRequest& request,
                         base::Tokens uncached,
                         base::MonoTime now) const;
+  // Returns the cost of reading the shared part again, in bytes between zones.
+  double ReadAgainCost(const BackendEntry& backend,
+                       const State& state,
+                       const PlacementRequest& request,
+                       const SharedPrompt& shared) const;
+  void ChargeDistance(const PlacementChoice& choice,
+                      const PlacementRequest& request,
+                      const SharedPrompt& shared);
 
   std::map<base::BackendId, State> states_;
   std::map<base::ServiceId, base::Tokens> cache_tokens_;
+  // Bytes that went to the home of a shared prompt in another zone.
+  std::unordered_map<std::string, double> distance_paid_;
   std::mt19937_64 random_;
 };
 
--- a/src/dandelionmill/prepaid/keeper.cc
+++ b/src/dandelionmill/prepaid/keeper.cc
@@ -32,6 +32,9 @@
 // How long another instance that asks for tokens is kept waiting for a row.
 constexpr std::chrono::milliseconds kLendTimeout{150};
 
+// How long other instances are not asked after they had nothing to lend.
+constexpr std::chrono::milliseconds kPeersDry{300};
+
 // Rows that are stored at once for a reservation that waits.
 constexpr int kRowsPerWaiter = 2;
 
@@ -172,8 +175,7 @@
       holder_version_ = answer.version;
       for (const auto& [account, move] : proposal.moves) {
         StoredTotal& total = totals_[account];
-        total = {answer.version, total.drawn + move, true,
-                 std::chrono::steady_clock::now(), total.is_reading};
+        Learn(total, answer.version, total.drawn + move);
       }
       OnStored(proposal);
       break;
@@ -218,7 +220,7 @@
   bool has_holder_row = false;
   // A row that does not exist may be left out of the answer.
   for (const auto& [account, move] : proposal.moves)
-    totals_[account] = {0, 0, true, std::chrono::steady_clock::now()};
+    Learn(totals_[account], 0, 0);
   for (const storage::VersionedRow& row : answer.rows) {
     if (row.deleted || row.version == 0)
       continue;
@@ -282,9 +284,17 @@
         .With(base::ErrorOf(decoded));
     return;
   }
-  totals_[base::AccountId(account)] = {row.version,
-                                       base::ValueOf(decoded).drawn, true,
-                                       std::chrono::steady_clock::now()};
+  Learn(totals_[base::AccountId(account)], row.version,
+        base::ValueOf(decoded).drawn);
+}
+
+void Keeper::Learn(StoredTotal& total,
+                   std::uint64_t version,
+                   base::Tokens drawn) {
+  total.version = version;
+  total.drawn = drawn;
+  total.is_known = true;
+  total.learned_at = std::chrono::steady_clock::now();
 }
 
 bool Keeper::IsTotalFresh(const base::AccountId& account) const {
@@ -410,7 +420,8 @@
       Undrawn(waiter.account) + held < waiter.tokens;
   if (!store_has_too_little && !last_call_failed_)
     return std::nullopt;
-  if (borrower_ && !waiter.has_borrowed) {
+  if (borrower_ && !waiter.has_borrowed &&
+      now >= totals_[waiter.account].peers_dry_until) {
     StartBorrowing(waiter, waiter.tokens - held);
     return std::nullopt;
   }
@@ -424,6 +435,10 @@
             [this, account = waiter.account, number = waiter.number,
              tokens](base::Tokens given) {
               ledger_.Borrow(account, given);
+              if (given == 0) {
+                totals_[account].peers_dry_until =
+                    std::chrono::steady_clock::now() + kPeersDry;
+              }
               log::Event(log::Level::kInfo, "prepaid_borrowed")
                   .With("account", account)
                   .With("asked", tokens)
--- a/src/dandelionmill/prepaid/keeper.h
+++ b/src/dandelionmill/prepaid/keeper.h
@@ -104,6 +104,8 @@
     // When the store last told it.
     base::MonoTime learned_at{};
     bool is_reading = false;
+    // Until then no other instance is asked: the last one had nothing.
+    base::MonoTime peers_dry_until{};
   };
   struct Waiter {
     std::uint64_t number;
@@ -127,6 +129,9 @@
                   const storage::TableAnswer& answer);
   void LearnHolderRow(const storage::VersionedRow& row);
   void LearnTotal(const storage::VersionedRow& row);
+  static void Learn(StoredTotal& total,
+                    std::uint64_t version,
+                    base::Tokens drawn);
   void ReadTotal(const base::AccountId& account);
   bool IsTotalFresh(const base::AccountId& account) const;
   void Finish();
--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -39,8 +39,8 @@
 
 // What may be used in each second after the quiet time: a multiple of the
 // demand, and a part of what is held. Lower ones let a successor recover more.
-constexpr double kRateOfDemand = 1.5;
-constexpr double kRateOfHeld = 1.0 / 8;
+constexpr double kRateOfDemand = 1.2;
+constexpr double kRateOfHeld = 1.0 / 12;
 
 double Seconds(base::BootTime::duration value) {
   return duration<double>(value).count();
