--- a/src/dandelionmill/gateway/fleet_members.cc
+++ b/src/dandelionmill/gateway/fleet_members.cc
@@ -15,16 +15,15 @@
 constexpr std::chrono::milliseconds kTimeout{600};
 
 // Returns nothing when the row cannot be read.
-std::optional<peer::Instance> DecodePeer(const std::string& text) {
+std::optional<peer::Instance> DecodePeer(const std::string& instance,
+                                         const std::string& text) {
   const json row = json::parse(text, nullptr, false);
-  if (!row.is_object() || !row.contains("peer") || !row["peer"].is_string() ||
-      !row.contains("zone") || !row["zone"].is_string())
+  if (!row.is_object() || !row.contains("peer") || !row["peer"].is_string())
     return std::nullopt;
   const auto address = net::ParseAddress(row["peer"].get<std::string>());
   if (!base::IsOk(address))
     return std::nullopt;
-  return peer::Instance{base::ZoneId(row["zone"].get<std::string>()),
-                        base::ValueOf(address)};
+  return peer::Instance{base::InstanceId(instance), base::ValueOf(address)};
 }
 
 }  // namespace
@@ -45,8 +44,7 @@
   storage::RowChange change;
   change.puts.push_back(
       {OwnKey(), json{{"process", self_.process},
-                      {"zone", self_.peer.zone.value()},
-                      {"peer", net::ToString(self_.peer.address)}}
+                      {"peer", net::ToString(self_.peers)}}
                      .dump()});
   table_.Commit(std::move(change), kTimeout, [this](storage::TableAnswer) {
     if (has_left_)
@@ -76,7 +74,7 @@
       seen = {row.version, now};
     if (now - seen.changed_at < kLifetime) {
       ++alive;
-      const auto peer = DecodePeer(row.value);
+      const auto peer = DecodePeer(row.key.key, row.value);
       if (peer && row.key.key != self_.instance)
         peers.push_back(*peer);
     }
--- a/src/dandelionmill/gateway/fleet_members.h
+++ b/src/dandelionmill/gateway/fleet_members.h
@@ -27,7 +27,8 @@
   struct Self {
     std::string instance;
     std::string process;
-    peer::Instance peer;
+    // Others send datagrams here.
+    net::Address peers;
   };
   // Gets the number of live instances and how to reach the others.
   using Listener = std::function<void(int, std::vector<peer::Instance>)>;
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -56,14 +56,15 @@
       core_(loop, keeper_, settings.zone, RetryLimits(settings)),
       lending_(
           loop,
-          [this](const base::AccountId& account, base::Tokens tokens,
-                 peer::LendingPort::Granted granted) {
-            keeper_.Lend(account, tokens, std::move(granted));
+          [this](const peer::LendingPort::Question& question,
+                 std::function<void(base::Tokens)> handler) {
+            keeper_.Lend(question.account, question.tokens, question.may_draw,
+                         std::move(handler));
           },
           [this](const base::AccountId& account, base::Tokens tokens) {
             keeper_.OnGiven(account, tokens);
           }),
-      borrower_(loop, lending_, settings.zone, core_.random()),
+      borrower_(loop, lending_, settings.instance),
       config_follower_(
           loop, store_, platform::kDesiredStateTable,
           {[this](const auto& row) { OnConfigRow(row); },
@@ -94,9 +95,7 @@
              OnStoreReachable("crashes", reachable, reason);
            }}),
       members_(store_,
-               {settings.instance.value(),
-                process_,
-                {settings.zone, settings.peers}},
+               {settings.instance.value(), process_, settings.peers},
                [this](int count, std::vector<peer::Instance> others) {
                  OnInstances(count, std::move(others));
                }),
@@ -128,14 +127,17 @@
     status = lending_.Listen(settings_.peers);
   if (!base::IsOk(status))
     return status;
-  keeper_.SetBorrower([this](const base::AccountId& account,
-                             base::Tokens tokens,
-                             std::function<void(base::Tokens)> handler) {
-    borrower_.Borrow(account, tokens, std::move(handler));
-  });
-  keeper_.SetGiver([this](const base::AccountId& account, base::Tokens tokens) {
-    borrower_.Give(account, tokens);
-  });
+  keeper_.SetPeers(
+      {[this](const base::AccountId& account) {
+         return borrower_.IsOwner(account);
+       },
+       [this](const base::AccountId& account, base::Tokens tokens,
+              std::function<void(base::Tokens)> handler) {
+         borrower_.Borrow(account, tokens, std::move(handler));
+       },
+       [this](const base::AccountId& account, base::Tokens tokens) {
+         borrower_.Give(account, tokens);
+       }});
   log::Event(log::Level::kInfo, "started")
       .With("process", process_)
       .With("zone", settings_.zone)
@@ -299,7 +301,6 @@
 void Gateway::OnInstances(int count, std::vector<peer::Instance> others) {
   core_.instances = count;
   borrower_.SetInstances(std::move(others));
-  keeper_.SetInstances(count);
 }
 
 void Gateway::Tick(base::MonoTime now) {
--- a/src/dandelionmill/peer/borrower.h
+++ b/src/dandelionmill/peer/borrower.h
@@ -3,8 +3,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
-#include <random>
 #include <vector>
 
 #include "dandelionmill/base/ids.h"
@@ -14,55 +14,66 @@
 
 namespace dandelionmill::peer {
 
-// Another instance of the fleet that lends.
+// An instance of the fleet.
 struct Instance {
-  base::ZoneId zone;
+  base::InstanceId id;
   net::Address address;
 };
 
-// Asks other instances for prepaid tokens, one after the other: those of the
-// own availability zone first, each group in random order.
+// Decides which instance owns an account, and asks it for prepaid tokens. The
+// owner is the instance that ranks first by hash; one that does not answer is
+// passed over for a while. Ownership only saves transactions: two instances that
+// both hold tokens of an account do no harm.
 class Borrower {
  public:
   // Instances asked for one request, at most.
-  static constexpr std::size_t kMaxAsked = 4;
+  static constexpr std::size_t kMaxAsked = 3;
 
   // `loop` and `port` must outlive the borrower.
   Borrower(boost::asio::io_context& loop,
            LendingPort& port,
-           base::ZoneId zone,
-           std::uint64_t seed)
-      : loop_(loop), port_(port), zone_(std::move(zone)), random_(seed) {}
+           base::InstanceId self)
+      : loop_(loop), port_(port), self_(std::move(self)) {}
 
-  void SetInstances(std::vector<Instance> instances) {
-    instances_ = std::move(instances);
+  // Commands.
+  // Sets the other live instances.
+  void SetInstances(std::vector<Instance> others) {
+    others_ = std::move(others);
   }
-  // The handler gets the sum of what was given, later.
+  // Asks the owner, and the next in rank if it does not answer or has nothing.
+  // The handler gets what was given, later.
   void Borrow(const base::AccountId& account,
               base::Tokens tokens,
               std::function<void(base::Tokens)> handler);
-  // Gives tokens to some instance, of the own availability zone if there is one.
+  // Gives tokens to the instance that owns the account without this one.
   void Give(const base::AccountId& account, base::Tokens tokens);
 
- private:
-  // Returns all instances in the order in which they are asked, last first.
-  std::vector<Instance> InOrder();
+  // Query.
+  // Whether this instance owns the account as far as it knows.
+  bool IsOwner(const base::AccountId& account) const;
 
+ private:
   struct Round {
     base::AccountId account;
-    base::Tokens missing = 0;
-    base::Tokens given = 0;
+    base::Tokens tokens = 0;
+    // Instances to ask, the last one first.
     std::vector<Instance> left;
+    // Whether the first has been asked, which alone draws from the store.
+    bool owner_asked = false;
     std::function<void(base::Tokens)> handler;
   };
 
+  // Returns the other instances in the order of their rank, the first one last,
+  // without those that lately did not answer.
+  std::vector<Instance> InRankOrder(const base::AccountId& account) const;
+  bool IsSilent(const base::InstanceId& id) const;
   void AskNext(std::shared_ptr<Round> round);
 
   boost::asio::io_context& loop_;
   LendingPort& port_;
-  const base::ZoneId zone_;
-  std::mt19937_64 random_;
-  std::vector<Instance> instances_;
+  const base::InstanceId self_;
+  std::vector<Instance> others_;
+  std::map<base::InstanceId, base::MonoTime> silent_until_;
 };
 
 }  // namespace dandelionmill::peer
--- a/src/dandelionmill/peer/lending_port.cc
+++ b/src/dandelionmill/peer/lending_port.cc
@@ -14,9 +14,19 @@
 using boost::system::error_code;
 using nlohmann::json;
 
+// When a question is sent again: the way there and back between regions, and a
+// row that the lender stores first.
+constexpr std::chrono::milliseconds kRepeatAfter{45};
+
+// How much longer its answer is awaited.
+constexpr std::chrono::milliseconds kGiveUpAfter{130};
+
 // How long after its question an answer is still credited.
 constexpr std::chrono::seconds kLateAnswers{5};
 
+// Questions remembered: those of a second at a busy owner.
+constexpr std::size_t kMaxReceived = 512;
+
 }  // namespace
 
 LendingPort::LendingPort(asio::io_context& loop, Lender lender, Late late)
@@ -48,7 +58,7 @@
 void LendingPort::Stop() {
   error_code ignored;
   socket_.close(ignored);
-  questions_.clear();
+  asked_.clear();
 }
 
 void LendingPort::Receive() {
@@ -71,12 +81,11 @@
     if (tokens < 0)
       return;
     if (message.contains("gift_for")) {
-      late_(base::AccountId(message["gift_for"].get<std::string>()),
-            tokens);
+      late_(base::AccountId(message["gift_for"].get<std::string>()), tokens);
     } else if (message.contains("account")) {
       OnQuestion(number,
-                 base::AccountId(message["account"].get<std::string>()),
-                 tokens, from_);
+                 {base::AccountId(message["account"].get<std::string>()),
+                  tokens, message.at("may_draw").get<bool>()});
     } else {
       OnAnswer(number, tokens);
     }
@@ -87,62 +96,97 @@
   }
 }
 
-void LendingPort::OnQuestion(std::uint64_t number,
-                             const base::AccountId& account,
-                             base::Tokens tokens,
-                             const udp::endpoint& from) {
-  lender_(account, tokens, [this, number, account, tokens,
-                            from](base::Tokens given) {
-    log::Event(log::Level::kInfo, "prepaid_lent")
-        .With("account", account)
-        .With("to", from)
-        .With("asked", tokens)
-        .With("given", given);
-    SendTo(from, json{{"number", number}, {"tokens", given}}.dump());
+LendingPort::Received* LendingPort::FindReceived(const Endpoint& from,
+                                                 std::uint64_t number) {
+  for (Received& other : received_) {
+    if (other.number == number && other.from == from)
+      return &other;
+  }
+  return nullptr;
+}
+
+void LendingPort::OnQuestion(std::uint64_t number, const Question& question) {
+  if (const Received* known = FindReceived(from_, number)) {
+    if (!known->answer.empty())
+      SendTo(from_, known->answer);
+    return;
+  }
+  received_.push_back({from_, number, ""});
+  if (received_.size() > kMaxReceived)
+    received_.pop_front();
+  lender_(question, [this, number, question, from = from_](base::Tokens given) {
+    if (given == 0) {
+      log::Event(log::Level::kInfo, "prepaid_not_lent")
+          .With("account", question.account)
+          .With("to", from)
+          .With("asked", question.tokens);
+    }
+    const std::string answer =
+        json{{"number", number}, {"tokens", given}}.dump();
+    if (Received* received = FindReceived(from, number))
+      received->answer = answer;
+    SendTo(from, answer);
   });
 }
 
-void LendingPort::OnAnswer(std::uint64_t number, base::Tokens tokens) {
-  const auto found = questions_.find(number);
-  if (found == questions_.end())
+void LendingPort::OnAnswer(std::uint64_t number, base::Tokens given) {
+  const auto found = asked_.find(number);
+  if (found == asked_.end())
     return;
-  Question question = std::move(found->second);
-  questions_.erase(found);
-  if (question.handler)
-    question.handler(tokens);
-  else if (tokens > 0)
-    late_(question.account, tokens);
+  Asked asked = std::move(found->second);
+  asked_.erase(found);
+  if (asked.handler)
+    asked.handler({given, true});
+  else if (given > 0)
+    late_(asked.account, given);
 }
 
 void LendingPort::Ask(const net::Address& instance,
-                      const base::AccountId& account,
-                      base::Tokens tokens,
-                      std::chrono::milliseconds timeout,
-                      Granted handler) {
+                      const Question& question,
+                      std::function<void(Answer)> handler) {
   const std::uint64_t number = next_number_++;
-  Question& question = questions_[number];
-  question.account = account;
-  question.handler = std::move(handler);
-  question.timer = std::make_unique<asio::steady_timer>(loop_);
-  question.timer->expires_after(timeout);
-  question.timer->async_wait([this, number](error_code error) {
-    const auto found = questions_.find(number);
-    if (error || found == questions_.end())
-      return;
-    const Granted waiting = std::exchange(found->second.handler, nullptr);
-    found->second.timer->expires_after(kLateAnswers);
-    found->second.timer->async_wait([this, number](error_code later) {
-      if (!later)
-        questions_.erase(number);
-    });
-    waiting(0);
+  Asked& asked = asked_[number];
+  asked.account = question.account;
+  asked.to = Endpoint(asio::ip::make_address(instance.host),
+                      static_cast<unsigned short>(instance.port));
+  asked.text = json{{"number", number},
+                    {"account", question.account.value()},
+                    {"tokens", question.tokens},
+                    {"may_draw", question.may_draw}}
+                   .dump();
+  asked.handler = std::move(handler);
+  asked.timer = std::make_unique<asio::steady_timer>(loop_);
+  SendTo(asked.to, asked.text);
+  ArmAskTimer(number, kRepeatAfter);
+}
+
+void LendingPort::ArmAskTimer(std::uint64_t number,
+                              std::chrono::milliseconds delay) {
+  asio::steady_timer& timer = *asked_.at(number).timer;
+  timer.expires_after(delay);
+  timer.async_wait([this, number](error_code error) {
+    if (!error)
+      OnAskTimer(number);
   });
-  SendTo(udp::endpoint(asio::ip::make_address(instance.host),
-                       static_cast<unsigned short>(instance.port)),
-         json{{"number", number},
-              {"account", account.value()},
-              {"tokens", tokens}}
-             .dump());
+}
+
+void LendingPort::OnAskTimer(std::uint64_t number) {
+  const auto found = asked_.find(number);
+  if (found == asked_.end())
+    return;
+  Asked& asked = found->second;
+  if (!std::exchange(asked.is_repeated, true)) {
+    SendTo(asked.to, asked.text);
+    ArmAskTimer(number, kGiveUpAfter);
+    return;
+  }
+  if (!asked.handler) {
+    asked_.erase(found);
+    return;
+  }
+  const auto handler = std::exchange(asked.handler, nullptr);
+  ArmAskTimer(number, kLateAnswers);
+  handler({});
 }
 
 void LendingPort::Give(const net::Address& instance,
--- a/src/dandelionmill/peer/lending_port.h
+++ b/src/dandelionmill/peer/lending_port.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,13 +22,25 @@
 
 // Lends prepaid tokens between instances by datagrams. The lender has given the
 // tokens away when it answers, so a lost answer loses tokens but never doubles
-// them; an answer that comes late is still credited.
+// them. A question is sent twice, and answered once; an answer that comes late
+// is still credited.
 class LendingPort {
  public:
-  using Granted = std::function<void(base::Tokens)>;
-  // Gives away up to so many tokens and tells the number.
-  using Lender = std::function<void(const base::AccountId&, base::Tokens,
-                                    Granted)>;
+  struct Question {
+    base::AccountId account;
+    base::Tokens tokens = 0;
+    // The lender may draw tokens from the store for this.
+    bool may_draw = false;
+  };
+  struct Answer {
+    // 0 or all that was asked for.
+    base::Tokens given = 0;
+    // The lender answered at all.
+    bool has_come = false;
+  };
+  // Gives away tokens and tells how many, 0 or all.
+  using Lender =
+      std::function<void(const Question&, std::function<void(base::Tokens)>)>;
   // Takes tokens for which nobody waits: given without a question, or after the
   // asker had stopped waiting.
   using Late = std::function<void(const base::AccountId&, base::Tokens)>;
@@ -38,12 +51,10 @@
   // Commands.
   // Fails with kBadSetting when the address cannot be bound.
   base::Status Listen(const net::Address& address);
-  // Asks one instance. The handler gets 0 after `timeout`.
+  // Asks one instance. The handler runs later, once.
   void Ask(const net::Address& instance,
-           const base::AccountId& account,
-           base::Tokens tokens,
-           std::chrono::milliseconds timeout,
-           Granted handler);
+           const Question& question,
+           std::function<void(Answer)> handler);
   // Gives tokens to an instance that did not ask. They are lost if the datagram
   // is.
   void Give(const net::Address& instance,
@@ -52,28 +63,42 @@
   void Stop();
 
  private:
-  struct Question {
+  using Endpoint = boost::asio::ip::udp::endpoint;
+
+  // A question that waits for its answer.
+  struct Asked {
     base::AccountId account;
-    Granted handler;
+    Endpoint to;
+    std::string text;
+    bool is_repeated = false;
+    std::function<void(Answer)> handler;
     std::unique_ptr<boost::asio::steady_timer> timer;
   };
+  // A question that was received, so that its repetition is not answered anew.
+  struct Received {
+    Endpoint from;
+    std::uint64_t number = 0;
+    // Empty until it is answered.
+    std::string answer;
+  };
 
   void Receive();
   void OnDatagram(const std::string& text);
-  void OnQuestion(std::uint64_t number, const base::AccountId& account,
-                  base::Tokens tokens,
-                  const boost::asio::ip::udp::endpoint& from);
-  void OnAnswer(std::uint64_t number, base::Tokens tokens);
-  void SendTo(const boost::asio::ip::udp::endpoint& to,
-              const std::string& text);
+  void OnQuestion(std::uint64_t number, const Question& question);
+  void OnAnswer(std::uint64_t number, base::Tokens given);
+  void OnAskTimer(std::uint64_t number);
+  void ArmAskTimer(std::uint64_t number, std::chrono::milliseconds delay);
+  Received* FindReceived(const Endpoint& from, std::uint64_t number);
+  void SendTo(const Endpoint& to, const std::string& text);
 
   boost::asio::io_context& loop_;
   const Lender lender_;
   const Late late_;
   boost::asio::ip::udp::socket socket_;
-  boost::asio::ip::udp::endpoint from_;
+  Endpoint from_;
   std::array<char, 1024> buffer_;
-  std::map<std::uint64_t, Question> questions_;
+  std::map<std::uint64_t, Asked> asked_;
+  std::deque<Received> received_;
   std::uint64_t next_number_;
 };
 
--- a/src/dandelionmill/prepaid/keeper.cc
+++ b/src/dandelionmill/prepaid/keeper.cc
@@ -32,9 +32,6 @@
 // How long another instance that asks for tokens is kept waiting for a row.
 constexpr std::chrono::milliseconds kLendTimeout{150};
 
-// How long other instances are not asked after they had nothing to lend.
-constexpr std::chrono::milliseconds kPeersDry{300};
-
 // Rows that are stored at once for a reservation that waits.
 constexpr int kRowsPerWaiter = 2;
 
@@ -108,9 +105,13 @@
     view.account = account;
     view.prepaid = prepaid;
     view.drawn = total == totals_.end() ? 0 : total->second.drawn;
+    view.is_owner = IsOwner(account);
     for (const Waiter& waiter : waiters_) {
-      if (waiter.account == account)
-        (waiter.is_lending ? view.to_lend : view.waited_for) += waiter.tokens;
+      if (waiter.account != account)
+        continue;
+      view.listed += waiter.tokens;
+      if (IsDrawing(waiter))
+        view.waited_for += waiter.tokens;
     }
     views.push_back(std::move(view));
   }
@@ -125,7 +126,7 @@
   if (prepaid_.empty() || returned_)
     return;
   Commit(is_returning_ ? ledger_.ProposeReturn(StoreTime())
-                       : ledger_.Propose(Views(), instances_, StoreTime(),
+                       : ledger_.Propose(Views(), StoreTime(),
                                          base::BootClock::now()));
 }
 
@@ -344,10 +345,19 @@
          ledger_.TryReserve(account, tokens, base::BootClock::now());
 }
 
+bool Keeper::IsOwner(const base::AccountId& account) const {
+  return !peers_.is_owner || peers_.is_owner(account);
+}
+
+bool Keeper::IsDrawing(const Waiter& waiter) const {
+  if (waiter.is_lending)
+    return waiter.may_draw;
+  return waiter.has_borrowed || IsOwner(waiter.account);
+}
+
 std::uint64_t Keeper::AddWaiter(const base::AccountId& account,
                                 base::Tokens tokens,
                                 std::chrono::milliseconds timeout,
-                                bool is_lending,
                                 Handler handler) {
   Waiter waiter;
   waiter.number = next_waiter_++;
@@ -355,7 +365,6 @@
   waiter.tokens = tokens;
   waiter.until = std::chrono::steady_clock::now() + timeout;
   waiter.handler = std::move(handler);
-  waiter.is_lending = is_lending;
   waiters_.push_back(std::move(waiter));
   if (waiters_.size() == 1)
     ScheduleWaiterCheck();
@@ -367,37 +376,47 @@
                                    std::chrono::milliseconds timeout,
                                    Handler handler) {
   const std::uint64_t number =
-      AddWaiter(account, tokens, timeout, false, std::move(handler));
+      AddWaiter(account, tokens, timeout, std::move(handler));
+  if (IsOwner(account))
+    AskStore(account, tokens);
+  else
+    StartBorrowing(waiters_.back());
+  return number;
+}
+
+void Keeper::AskStore(const base::AccountId& account, base::Tokens tokens) {
   if (Undrawn(account) + ledger_.Held(account) < tokens &&
       totals_[account].is_known && !IsTotalFresh(account))
     ReadTotal(account);
   else
     Tick();
-  return number;
 }
 
 void Keeper::Lend(const base::AccountId& account,
                   base::Tokens tokens,
+                  bool may_draw,
                   std::function<void(base::Tokens)> handler) {
-  const base::Tokens amount = std::min(tokens, ledger_.Held(account));
-  if (amount <= 0 || !HasLimit(account) || returned_) {
+  if (!HasLimit(account) || is_returning_ ||
+      (!may_draw && ledger_.Held(account) < tokens)) {
     handler(0);
     return;
   }
-  if (ledger_.TryReserve(account, amount, base::BootClock::now())) {
-    ledger_.GiveAway(account, amount);
-    handler(amount);
+  if (ledger_.TryReserve(account, tokens, base::BootClock::now())) {
+    ledger_.GiveAway(account, tokens);
+    handler(tokens);
     return;
   }
-  AddWaiter(account, amount, kLendTimeout, true,
-            [this, account, amount,
+  AddWaiter(account, tokens, kLendTimeout,
+            [this, account, tokens,
              handler = std::move(handler)](ReserveOutcome outcome) {
               const bool reserved = outcome == ReserveOutcome::kReserved;
               if (reserved)
-                ledger_.GiveAway(account, amount);
-              handler(reserved ? amount : 0);
+                ledger_.GiveAway(account, tokens);
+              handler(reserved ? tokens : 0);
             });
-  Tick();
+  waiters_.back().is_lending = true;
+  waiters_.back().may_draw = may_draw;
+  AskStore(account, tokens);
 }
 
 void Keeper::Cancel(std::uint64_t waiter) {
@@ -412,45 +431,52 @@
     return ReserveOutcome::kReserved;
   if (now >= waiter.until)
     return ReserveOutcome::kUnavailable;
-  const base::Tokens held = ledger_.Held(waiter.account);
-  if (waiter.is_lending || held >= waiter.tokens || waiter.is_borrowing)
+  if (waiter.is_borrowing ||
+      ledger_.Held(waiter.account) >= waiter.tokens)
     return std::nullopt;
   const bool store_has_too_little =
-      !last_call_failed_ && IsTotalFresh(waiter.account) &&
-      Undrawn(waiter.account) + held < waiter.tokens;
+      IsTotalFresh(waiter.account) &&
+      Undrawn(waiter.account) + ledger_.Held(waiter.account) < waiter.tokens;
   if (!store_has_too_little && !last_call_failed_)
     return std::nullopt;
-  if (borrower_ && !waiter.has_borrowed &&
-      now >= totals_[waiter.account].peers_dry_until) {
-    StartBorrowing(waiter, waiter.tokens - held);
+  if (!waiter.is_lending && !waiter.has_borrowed && peers_.borrow) {
+    StartBorrowing(waiter);
     return std::nullopt;
   }
   return store_has_too_little ? ReserveOutcome::kExhausted
                               : ReserveOutcome::kUnavailable;
 }
 
-void Keeper::StartBorrowing(Waiter& waiter, base::Tokens tokens) {
+void Keeper::StartBorrowing(Waiter& waiter) {
   waiter.is_borrowing = true;
-  borrower_(waiter.account, tokens,
-            [this, account = waiter.account, number = waiter.number,
-             tokens](base::Tokens given) {
-              ledger_.Borrow(account, given);
-              if (given == 0) {
-                totals_[account].peers_dry_until =
-                    std::chrono::steady_clock::now() + kPeersDry;
-              }
-              log::Event(log::Level::kInfo, "prepaid_borrowed")
-                  .With("account", account)
-                  .With("asked", tokens)
-                  .With("given", given);
-              for (Waiter& other : waiters_) {
-                if (other.number == number) {
-                  other.is_borrowing = false;
-                  other.has_borrowed = true;
-                }
-              }
-              ServeWaiters();
-            });
+  const base::Tokens missing =
+      waiter.tokens - std::max<base::Tokens>(0, ledger_.BorrowedLeft(waiter.account));
+  peers_.borrow(waiter.account, missing,
+                [this, account = waiter.account, number = waiter.number,
+                 missing](base::Tokens given) {
+                  OnBorrowed(account, number, missing, given);
+                });
+}
+
+void Keeper::OnBorrowed(const base::AccountId& account,
+                        std::uint64_t number,
+                        base::Tokens asked,
+                        base::Tokens given) {
+  ledger_.Borrow(account, given);
+  if (given == 0) {
+    log::Event(log::Level::kInfo, "prepaid_not_borrowed")
+        .With("account", account)
+        .With("asked", asked);
+  }
+  for (Waiter& other : waiters_) {
+    if (other.number != number)
+      continue;
+    other.is_borrowing = false;
+    other.has_borrowed = true;
+  }
+  ServeWaiters();
+  if (given == 0)
+    AskStore(account, asked);
 }
 
 void Keeper::ServeWaiters() {
@@ -459,7 +485,7 @@
   for (auto at = waiters_.begin(); at != waiters_.end();) {
     const std::optional<ReserveOutcome> outcome = Decide(*at, now);
     if (!outcome) {
-      tick_again_ |= at->rows_stored < kRowsPerWaiter;
+      tick_again_ |= at->rows_stored < kRowsPerWaiter && !at->is_borrowing;
       ++at;
       continue;
     }
@@ -502,14 +528,14 @@
 }
 
 void Keeper::GiveAwayAll() {
-  if (!giver_)
+  if (!peers_.give)
     return;
   const base::BootTime now = base::BootClock::now();
   for (const base::AccountId& account : ledger_.Accounts()) {
     const base::Tokens tokens = ledger_.Available(account, now);
     if (tokens > 0 && ledger_.TryReserve(account, tokens, now)) {
       ledger_.GiveAway(account, tokens);
-      giver_(account, tokens);
+      peers_.give(account, tokens);
     }
   }
 }
--- a/src/dandelionmill/prepaid/keeper.h
+++ b/src/dandelionmill/prepaid/keeper.h
@@ -35,11 +35,18 @@
 class Keeper {
  public:
   using Handler = std::function<void(ReserveOutcome)>;
-  // Asks other instances for tokens of an account; the handler gets what they
-  // gave, and never runs from within the call.
-  using Borrower = std::function<void(const base::AccountId&,
-                                      base::Tokens,
-                                      std::function<void(base::Tokens)>)>;
+  // The other instances of the fleet.
+  struct Peers {
+    // Whether this instance holds the account's tokens for the others.
+    std::function<bool(const base::AccountId&)> is_owner;
+    // Asks other instances for tokens; the handler gets 0 or all, later.
+    std::function<void(const base::AccountId&,
+                       base::Tokens,
+                       std::function<void(base::Tokens)>)>
+        borrow;
+    // Gives tokens to another instance without being asked.
+    std::function<void(const base::AccountId&, base::Tokens)> give;
+  };
 
   // `loop` and `table` must outlive the keeper.
   Keeper(boost::asio::io_context& loop,
@@ -50,14 +57,8 @@
   // Commands.
   // Sets the prepaid tokens of each account that has a limit.
   void SetAccounts(std::map<base::AccountId, base::Tokens> prepaid);
-  // Sets how many instances share the accounts.
-  void SetInstances(int instances) { instances_ = instances; }
-  void SetBorrower(Borrower borrower) { borrower_ = std::move(borrower); }
-  // Sets how tokens are given to another instance when the process ends while
-  // the store is out of reach.
-  void SetGiver(std::function<void(const base::AccountId&, base::Tokens)> giver) {
-    giver_ = std::move(giver);
-  }
+  // Without peers each instance owns all accounts.
+  void SetPeers(Peers peers) { peers_ = std::move(peers); }
   // Stores what is due. Call twice in each Ledger::kQuiet.
   void Tick();
   // Reserves tokens at once if it can. Accounts without a limit have them all.
@@ -74,9 +75,11 @@
   void OnGiven(const base::AccountId& account, base::Tokens tokens) {
     ledger_.Borrow(account, tokens);
   }
-  // Gives up to `tokens` to another instance; the handler gets the number.
+  // Gives `tokens` to another instance; the handler gets 0 or all of them. They
+  // are drawn from the store first if need be and `may_draw`.
   void Lend(const base::AccountId& account,
             base::Tokens tokens,
+            bool may_draw,
             std::function<void(base::Tokens)> handler);
   void Settle(const base::AccountId& account,
               base::Tokens reserved,
@@ -104,8 +107,6 @@
     // When the store last told it.
     base::MonoTime learned_at{};
     bool is_reading = false;
-    // Until then no other instance is asked: the last one had nothing.
-    base::MonoTime peers_dry_until{};
   };
   struct Waiter {
     std::uint64_t number;
@@ -113,8 +114,9 @@
     base::Tokens tokens;
     base::MonoTime until;
     Handler handler;
-    // Waits for another instance, so nothing is drawn or borrowed for it.
+    // Waits for another instance, so nothing is borrowed for it.
     bool is_lending = false;
+    bool may_draw = true;
     // Rows stored since it waits.
     int rows_stored = 0;
     bool is_borrowing = false;
@@ -140,12 +142,20 @@
   std::uint64_t AddWaiter(const base::AccountId& account,
                           base::Tokens tokens,
                           std::chrono::milliseconds timeout,
-                          bool is_lending,
                           Handler handler);
   void ServeWaiters();
   // Returns the outcome of a waiter once it is known.
   std::optional<ReserveOutcome> Decide(Waiter& waiter, base::MonoTime now);
-  void StartBorrowing(Waiter& waiter, base::Tokens tokens);
+  bool IsOwner(const base::AccountId& account) const;
+  // Whether tokens are drawn from the store for the waiter.
+  bool IsDrawing(const Waiter& waiter) const;
+  void StartBorrowing(Waiter& waiter);
+  void OnBorrowed(const base::AccountId& account,
+                  std::uint64_t number,
+                  base::Tokens asked,
+                  base::Tokens given);
+  // Draws tokens, or reads the stored total first if it may be out of date.
+  void AskStore(const base::AccountId& account, base::Tokens tokens);
   void ScheduleWaiterCheck();
   std::vector<Ledger::AccountView> Views() const;
   std::chrono::milliseconds StoreTime() const;
@@ -158,7 +168,6 @@
   Ledger ledger_;
   std::map<base::AccountId, base::Tokens> prepaid_;
   std::map<base::AccountId, StoredTotal> totals_;
-  int instances_ = 1;
 
   bool is_committing_ = false;
   bool tick_again_ = false;
@@ -173,8 +182,7 @@
   std::list<Waiter> waiters_;
   std::uint64_t next_waiter_ = 1;
   boost::asio::steady_timer waiter_timer_;
-  Borrower borrower_;
-  std::function<void(const base::AccountId&, base::Tokens)> giver_;
+  Peers peers_;
   std::function<void()> returned_;
   bool is_returning_ = false;
   int return_attempts_ = 0;
--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -13,21 +13,18 @@
 // largest kinds at one instance.
 constexpr duration<double> kDemandMemory{8.0};
 
-// Demand that an instance holds ahead while the account has plenty: longer than
+// Demand that the owner holds ahead while the account has plenty: longer than
 // the store is out of reach on the days that the users describe (9 s).
 constexpr duration<double> kMaxAhead{12.0};
 
-// Demand that an instance keeps when nothing is left to draw.
-constexpr duration<double> kMinAhead{1.0};
+// Share of what is left of an account that its owner holds at most: the rest is
+// for instances that cannot reach the owner.
+constexpr double kLargestShare = 0.75;
 
-// Share of an account that is not drawn which all instances together hold
-// without any demand, so that a cut right after the start refuses nobody.
+// Share of what nobody has drawn that the owner holds without any demand, so
+// that a cut right after the start refuses nobody.
 constexpr double kIdleShare = 0.3;
 
-// While an account runs low, tokens held by all instances for each token that
-// is not drawn.
-constexpr double kHeldPerUndrawn = 3.0;
-
 // Part of the target below which tokens are drawn, and above which they are
 // returned: the gap between both keeps tokens from going back and forth.
 constexpr double kDrawBelow = 0.8;
@@ -95,34 +92,23 @@
 
 base::Tokens Ledger::MoveFor(const Share& share,
                              const AccountView& view,
-                             int instances,
                              base::BootTime now) const {
   const double undrawn =
       static_cast<double>(std::max<base::Tokens>(0, view.prepaid - view.drawn));
   const double demand = DemandPerSecond(share, now);
   const double held =
-      static_cast<double>(share.held() + share.recovered);
-  double ahead = kMaxAhead.count();
-  if (demand > 0) {
-    ahead = std::clamp(kHeldPerUndrawn * undrawn / (demand * instances),
-                       kMinAhead.count(), kMaxAhead.count());
-  }
+      static_cast<double>(share.held_of_drawn() + share.recovered);
   const auto waited = static_cast<double>(view.waited_for);
-  const double target = std::max(
-      {demand * ahead, kIdleShare * undrawn / instances, waited});
-  if (held < kDrawBelow * target || held < waited) {
-    // Half of what is there at most, so that one instance leaves room for
-    // others; requests that wait may take all.
-    const double most = std::max(undrawn / 2, std::min(undrawn, waited));
-    return static_cast<base::Tokens>(std::min(target - held, most));
-  }
-  const auto lendable = static_cast<double>(view.to_lend);
-  if (held - lendable > kReturnAbove * target) {
-    const double most =
-        static_cast<double>(share.held_of_drawn() + share.recovered);
-    return -static_cast<base::Tokens>(
-        std::min(held - lendable - target, most));
+  double target = waited;
+  if (view.is_owner) {
+    const double ahead = std::min(demand * kMaxAhead.count(),
+                                  kLargestShare * (undrawn + held));
+    target = std::max({waited, ahead, kIdleShare * undrawn});
   }
+  if (held < kDrawBelow * target || held < waited)
+    return static_cast<base::Tokens>(std::min(target - held, undrawn));
+  if (held > kReturnAbove * target)
+    return -static_cast<base::Tokens>(held - target);
   return 0;
 }
 
@@ -136,7 +122,6 @@
 }
 
 Ledger::Proposal Ledger::Propose(const std::vector<AccountView>& accounts,
-                                 int instances,
                                  std::chrono::milliseconds store_time,
                                  base::BootTime now) {
   Proposal proposal;
@@ -145,10 +130,10 @@
   std::map<base::AccountId, base::Tokens> listed;
   for (const AccountView& view : accounts) {
     const base::Tokens move =
-        MoveFor(shares_[view.account], view, std::max(1, instances), now);
+        MoveFor(shares_[view.account], view, now);
     if (move != 0)
       moves[view.account] = move;
-    listed[view.account] = view.waited_for + view.to_lend;
+    listed[view.account] = view.listed;
   }
   for (auto& [account, share] : shares_) {
     const auto found = moves.find(account);
@@ -233,6 +218,11 @@
   return found == shares_.end() ? 0 : found->second.held();
 }
 
+base::Tokens Ledger::BorrowedLeft(const base::AccountId& account) const {
+  const auto found = shares_.find(account);
+  return found == shares_.end() ? 0 : found->second.borrowed_left();
+}
+
 base::Tokens Ledger::Used(const base::AccountId& account) const {
   const auto found = shares_.find(account);
   return found == shares_.end() ? 0 : found->second.used;
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -32,10 +32,12 @@
     base::Tokens prepaid = 0;
     // The stored total, as last seen.
     base::Tokens drawn = 0;
-    // Tokens of requests that wait here, which are drawn if need be.
+    // This instance holds the tokens for the others.
+    bool is_owner = true;
+    // Tokens of reservations that wait here, to be listed as committed.
+    base::Tokens listed = 0;
+    // Part of these for which tokens are drawn if need be.
     base::Tokens waited_for = 0;
-    // Tokens that others want to borrow.
-    base::Tokens to_lend = 0;
   };
 
   // A change of the stored rows.
@@ -69,10 +71,9 @@
   // store's clock. It becomes usable with the next stored proposal. Returns how
   // many tokens these are.
   base::Tokens Recover(const HolderRow& left, std::chrono::milliseconds store_time);
-  // Returns what should be stored next, given the number of instances that
-  // share the accounts. Tokens that it returns are not usable from now on.
+  // Returns what should be stored next. Tokens that it returns are not usable
+  // from now on.
   Proposal Propose(const std::vector<AccountView>& accounts,
-                   int instances,
                    std::chrono::milliseconds store_time,
                    base::BootTime now);
   // Returns a proposal that returns everything unused, for the end of the
@@ -90,6 +91,8 @@
                          base::BootTime now) const;
   // Tokens held and not committed, whether or not they may be used yet.
   base::Tokens Held(const base::AccountId& account) const;
+  // Borrowed tokens that are not committed.
+  base::Tokens BorrowedLeft(const base::AccountId& account) const;
   // Tokens used here, or given away, since the process started.
   base::Tokens Used(const base::AccountId& account) const;
   std::vector<base::AccountId> Accounts() const;
@@ -130,7 +133,6 @@
   static double DemandPerSecond(const Share& share, base::BootTime now);
   base::Tokens MoveFor(const Share& share,
                        const AccountView& view,
-                       int instances,
                        base::BootTime now) const;
   HolderRow MakeRow(std::chrono::milliseconds store_time);
 
