Promise twice the demand after the quiet time, measure demand from its start, keep peers through an outage

Cause: at the start of a cut the owner held 413,000 tokens and might use 7,804 of them; its demand was measured as 70 % of what it was six seconds after the start; after the cut every instance took itself for the owner, since heartbeats had aged while nobody could write them.

--- a/src/dandelionmill/gateway/fleet_members.cc
+++ b/src/dandelionmill/gateway/fleet_members.cc
@@ -65,6 +65,12 @@
 
 void FleetMembers::OnRows(const storage::TableAnswer& answer,
                           base::MonoTime now) {
+  // Nobody could write while the store was away.
+  if (last_read_ != base::MonoTime() && now - last_read_ > 2 * kHeartbeat) {
+    for (auto& [instance, seen] : seen_)
+      seen.changed_at += now - last_read_;
+  }
+  last_read_ = now;
   std::map<std::string, Seen> rows;
   std::vector<peer::Instance> peers;
   int alive = 0;
--- a/src/dandelionmill/gateway/fleet_members.h
+++ b/src/dandelionmill/gateway/fleet_members.h
@@ -59,6 +59,7 @@
   const Self self_;
   const Listener listener_;
   std::map<std::string, Seen> seen_;
+  base::MonoTime last_read_{};
   bool is_under_way_ = false;
   bool has_left_ = false;
   int count_ = 1;
--- a/src/dandelionmill/peer/borrower.cc
+++ b/src/dandelionmill/peer/borrower.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "dandelionmill/base/digest.h"
+#include "dandelionmill/log/event.h"
 
 namespace dandelionmill::peer {
 namespace {
@@ -76,6 +77,9 @@
   port_.Ask(instance.address, {round->account, round->tokens, may_draw},
             [this, round, id = instance.id](LendingPort::Answer answer) {
               if (!answer.has_come) {
+                log::Event(log::Level::kInfo, "peer_silent")
+                    .With("instance", id)
+                    .With("account", round->account);
                 silent_until_[id] = std::chrono::steady_clock::now() + kSilent;
                 // The next in rank takes the place of the owner.
                 round->owner_asked = false;
--- a/src/dandelionmill/peer/lending_port.cc
+++ b/src/dandelionmill/peer/lending_port.cc
@@ -18,9 +18,12 @@
 // row that the lender stores first.
 constexpr std::chrono::milliseconds kRepeatAfter{45};
 
-// How much longer its answer is awaited.
+// How much longer a sign of life is awaited.
 constexpr std::chrono::milliseconds kGiveUpAfter{130};
 
+// How long a lender that is alive may take: the quiet time of its row.
+constexpr std::chrono::milliseconds kPatience{1200};
+
 // How long after its question an answer is still credited.
 constexpr std::chrono::seconds kLateAnswers{5};
 
@@ -86,6 +89,8 @@
       OnQuestion(number,
                  {base::AccountId(message["account"].get<std::string>()),
                   tokens, message.at("may_draw").get<bool>()});
+    } else if (message.contains("pending")) {
+      OnPending(number);
     } else {
       OnAnswer(number, tokens);
     }
@@ -106,9 +111,10 @@
 }
 
 void LendingPort::OnQuestion(std::uint64_t number, const Question& question) {
+  const std::string pending =
+      json{{"number", number}, {"tokens", 0}, {"pending", true}}.dump();
   if (const Received* known = FindReceived(from_, number)) {
-    if (!known->answer.empty())
-      SendTo(from_, known->answer);
+    SendTo(from_, known->answer.empty() ? pending : known->answer);
     return;
   }
   received_.push_back({from_, number, ""});
@@ -127,6 +133,17 @@
       received->answer = answer;
     SendTo(from, answer);
   });
+  const Received* received = FindReceived(from_, number);
+  if (received != nullptr && received->answer.empty())
+    SendTo(from_, pending);
+}
+
+void LendingPort::OnPending(std::uint64_t number) {
+  const auto found = asked_.find(number);
+  if (found == asked_.end() || !found->second.handler)
+    return;
+  found->second.is_repeated = true;
+  ArmAskTimer(number, kPatience);
 }
 
 void LendingPort::OnAnswer(std::uint64_t number, base::Tokens given) {
--- a/src/dandelionmill/peer/lending_port.h
+++ b/src/dandelionmill/peer/lending_port.h
@@ -22,8 +22,9 @@
 
 // Lends prepaid tokens between instances by datagrams. The lender has given the
 // tokens away when it answers, so a lost answer loses tokens but never doubles
-// them. A question is sent twice, and answered once; an answer that comes late
-// is still credited.
+// them. A question is sent twice, and answered once; a lender that cannot answer
+// yet says so, which tells it from one that is gone. An answer that comes late is
+// still credited.
 class LendingPort {
  public:
   struct Question {
@@ -86,6 +87,7 @@
   void OnDatagram(const std::string& text);
   void OnQuestion(std::uint64_t number, const Question& question);
   void OnAnswer(std::uint64_t number, base::Tokens given);
+  void OnPending(std::uint64_t number);
   void OnAskTimer(std::uint64_t number);
   void ArmAskTimer(std::uint64_t number, std::chrono::milliseconds delay);
   Received* FindReceived(const Endpoint& from, std::uint64_t number);
--- a/src/dandelionmill/prepaid/keeper.cc
+++ b/src/dandelionmill/prepaid/keeper.cc
@@ -29,8 +29,9 @@
 // How often waiting reservations are looked at beside each answer.
 constexpr std::chrono::milliseconds kWaiterCheck{100};
 
-// How long another instance that asks for tokens is kept waiting for a row.
-constexpr std::chrono::milliseconds kLendTimeout{150};
+// How long another instance that asks for tokens is kept waiting: the quiet time
+// of the stored row, and some for what the promise still lacks then.
+constexpr std::chrono::milliseconds kLendTimeout{1150};
 
 // Rows that are stored at once for a reservation that waits.
 constexpr int kRowsPerWaiter = 2;
@@ -489,6 +490,8 @@
       ++at;
       continue;
     }
+    if (*outcome != ReserveOutcome::kReserved)
+      LogRefusal(*at, *outcome);
     ready.emplace_back(std::move(at->handler), *outcome);
     at = waiters_.erase(at);
   }
@@ -496,6 +499,20 @@
     handler(outcome);
 }
 
+void Keeper::LogRefusal(const Waiter& waiter, ReserveOutcome outcome) const {
+  log::Event(log::Level::kInfo, "prepaid_refused")
+      .With("account", waiter.account)
+      .With("tokens", waiter.tokens)
+      .With("outcome", ToString(outcome))
+      .With("for_peer", waiter.is_lending)
+      .With("owner", IsOwner(waiter.account))
+      .With("held", ledger_.Held(waiter.account))
+      .With("available",
+            ledger_.Available(waiter.account, base::BootClock::now()))
+      .With("undrawn", Undrawn(waiter.account))
+      .With("store_answers", !last_call_failed_);
+}
+
 void Keeper::ScheduleWaiterCheck() {
   waiter_timer_.expires_after(kWaiterCheck);
   waiter_timer_.async_wait([this](boost::system::error_code error) {
--- a/src/dandelionmill/prepaid/keeper.h
+++ b/src/dandelionmill/prepaid/keeper.h
@@ -156,6 +156,7 @@
                   base::Tokens given);
   // Draws tokens, or reads the stored total first if it may be out of date.
   void AskStore(const base::AccountId& account, base::Tokens tokens);
+  void LogRefusal(const Waiter& waiter, ReserveOutcome outcome) const;
   void ScheduleWaiterCheck();
   std::vector<Ledger::AccountView> Views() const;
   std::chrono::milliseconds StoreTime() const;
--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -11,11 +11,14 @@
 
 // Over which past the demand on an account is measured: several requests of the
 // largest kinds at one instance.
-constexpr duration<double> kDemandMemory{8.0};
+constexpr duration<double> kDemandMemory{5.0};
+
+// Part of that past after which a first measurement is scaled up, at least.
+constexpr double kMinMeasured = 0.3;
 
 // Demand that the owner holds ahead while the account has plenty: longer than
 // the store is out of reach on the days that the users describe (9 s).
-constexpr duration<double> kMaxAhead{12.0};
+constexpr duration<double> kMaxAhead{16.0};
 
 // Share of what is left of an account that its owner holds at most: the rest is
 // for instances that cannot reach the owner.
@@ -30,14 +33,17 @@
 constexpr double kDrawBelow = 0.8;
 constexpr double kReturnAbove = 1.5;
 
+// Tokens that are not worth a transaction.
+constexpr double kMinReturn = 5000;
+
 // What may be committed without another row, as time of demand: small requests
 // pass at once, large ones wait for a row that lists them.
-constexpr duration<double> kUnlistedDemand{1.0};
+constexpr duration<double> kUnlistedDemand{1.5};
 
 // What may be used in each second after the quiet time: a multiple of the
 // demand, and a part of what is held. Lower ones let a successor recover more.
-constexpr double kRateOfDemand = 1.2;
-constexpr double kRateOfHeld = 1.0 / 12;
+constexpr double kRateOfDemand = 2.0;
+constexpr double kRateOfHeld = 1.0 / 16;
 
 double Seconds(base::BootTime::duration value) {
   return duration<double>(value).count();
@@ -47,8 +53,10 @@
 
 double Ledger::DemandPerSecond(const Share& share, base::BootTime now) {
   const double age = Seconds(now - share.recent_at);
+  const double measured =
+      1 - std::exp(-Seconds(now - share.first_at) / kDemandMemory.count());
   return share.recent * std::exp(-age / kDemandMemory.count()) /
-         kDemandMemory.count();
+         kDemandMemory.count() / std::max(kMinMeasured, measured);
 }
 
 bool Ledger::TryReserve(const base::AccountId& account,
@@ -58,8 +66,11 @@
   if (Available(account, now) < tokens)
     return false;
   share.reserved += tokens;
-  share.recent =
-      DemandPerSecond(share, now) * kDemandMemory.count() + tokens;
+  if (share.first_at == base::BootTime())
+    share.first_at = now;
+  share.recent *= std::exp(-Seconds(now - share.recent_at) /
+                           kDemandMemory.count());
+  share.recent += static_cast<double>(tokens);
   share.recent_at = now;
   return true;
 }
@@ -107,7 +118,7 @@
   }
   if (held < kDrawBelow * target || held < waited)
     return static_cast<base::Tokens>(std::min(target - held, undrawn));
-  if (held > kReturnAbove * target)
+  if (held > kReturnAbove * target + kMinReturn)
     return -static_cast<base::Tokens>(held - target);
   return 0;
 }
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -116,6 +116,7 @@
     // Tokens reserved, decaying with kDemandMemory.
     double recent = 0;
     base::BootTime recent_at{};
+    base::BootTime first_at{};
 
     // Borrowed tokens are used first; only the rest counts against `drawn`.
     base::Tokens committed() const {
