Notice the registry's return early, and let missing entries lapse 2.2 s after it

Change: calls without a wait while the store is away; a missing entry lapses 2.2 s after the start of the last failed call, checked at each choice.

--- a/src/dandelionmill/gateway/backend_directory.cc
+++ b/src/dandelionmill/gateway/backend_directory.cc
@@ -15,13 +15,12 @@
   if (found == members_.end())
     return;
   const bool outage_may_be_why =
-      !is_reachable_ || (outage_ended_ && now < *outage_ended_ + kOutageEffect);
+      outage_ended_ && now < *outage_ended_ + kReturnTime;
   if (!outage_may_be_why || found->second.entry.draining) {
     members_.erase(found);
     return;
   }
-  if (!found->second.lapses_at)
-    found->second.lapses_at = now + kReturnTime;
+  found->second.lapses_at = *outage_ended_ + kReturnTime;
 }
 
 void BackendDirectory::Replace(const std::vector<BackendEntry>& entries,
@@ -40,12 +39,6 @@
     Remove(id, now);
 }
 
-void BackendDirectory::SetReachable(bool reachable, base::MonoTime now) {
-  if (reachable && !is_reachable_)
-    outage_ended_ = now;
-  is_reachable_ = reachable;
-}
-
 std::vector<base::BackendId> BackendDirectory::Expire(base::MonoTime now) {
   std::vector<base::BackendId> gone;
   for (auto at = members_.begin(); at != members_.end();) {
@@ -60,10 +53,13 @@
 }
 
 std::vector<const BackendEntry*> BackendDirectory::Usable(
-    const base::ServiceId& service) const {
+    const base::ServiceId& service,
+    base::MonoTime now) const {
   std::vector<const BackendEntry*> usable;
   for (const auto& [id, member] : members_) {
-    if (member.entry.service == service && !member.entry.draining)
+    const bool has_lapsed = member.lapses_at && *member.lapses_at <= now;
+    if (member.entry.service == service && !member.entry.draining &&
+        !has_lapsed)
       usable.push_back(&member.entry);
   }
   return usable;
--- a/src/dandelionmill/gateway/backend_directory.h
+++ b/src/dandelionmill/gateway/backend_directory.h
@@ -17,11 +17,10 @@
 // backend server writes its entry again. Pure.
 class BackendDirectory {
  public:
-  // How long a backend server whose entry is missing after an outage of the
-  // registry stays usable. Living ones are back within about two seconds.
-  static constexpr std::chrono::milliseconds kReturnTime{1900};
-  // How long after an outage missing entries may be due to it.
-  static constexpr std::chrono::milliseconds kOutageEffect{3000};
+  // How long after the end of an outage of the registry a backend server whose
+  // entry is missing stays usable. Living ones are back within about two seconds;
+  // one that has left must get nothing after two and a half.
+  static constexpr std::chrono::milliseconds kReturnTime{2200};
 
   // Commands.
   // An entry is new or has changed.
@@ -30,15 +29,16 @@
   void Remove(const base::BackendId& id, base::MonoTime now);
   // These entries exist and no others.
   void Replace(const std::vector<BackendEntry>& entries, base::MonoTime now);
-  // The registry stopped or started to answer.
-  void SetReachable(bool reachable, base::MonoTime now);
+  // The registry started to answer again; it was still away at `away_at`.
+  void OnOutageEnded(base::MonoTime away_at) { outage_ended_ = away_at; }
   // Forgets lapsed entries whose time is over. Returns their ids.
   std::vector<base::BackendId> Expire(base::MonoTime now);
 
   // Queries.
   // Returns the backend servers of `service` that may get new work, in the
   // order of their ids. Valid until the next command.
-  std::vector<const BackendEntry*> Usable(const base::ServiceId& service) const;
+  std::vector<const BackendEntry*> Usable(const base::ServiceId& service,
+                                          base::MonoTime now) const;
   // Returns nullptr when the id is not known.
   const BackendEntry* Find(const base::BackendId& id) const;
   std::size_t size() const { return members_.size(); }
@@ -51,8 +51,7 @@
   };
 
   std::map<base::BackendId, Member> members_;
-  bool is_reachable_ = true;
-  // When the last outage ended; none so far when not set.
+  // When the last outage ended, at the earliest; none so far when not set.
   std::optional<base::MonoTime> outage_ended_;
 };
 
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -207,7 +207,7 @@
   }
   const base::MonoTime now = steady_clock::now();
   const auto choice = core_.placement.Choose(
-      core_.directory.Usable(service_->id), request, now);
+      core_.directory.Usable(service_->id, now), request, now);
   if (!choice) {
     TryAgainOr(may_have_run_
                    ? FailAfterRun(base::Code::kBackendFailed, 502,
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -72,16 +72,17 @@
              for (const auto& row : rows)
                OnConfigRow(row);
            },
-           [this](bool reachable, const std::string& reason) {
+           [this](bool reachable, base::MonoTime, const std::string& reason) {
              OnStoreReachable("config", reachable, reason);
            }}),
       backend_follower_(
           loop, store_, platform::kRegistryTable,
           {[this](const auto& row) { OnBackendRow(row); },
            [this](const auto& rows) { OnBackendRows(rows); },
-           [this](bool reachable, const std::string& reason) {
-             core_.directory.SetReachable(reachable,
-                                          std::chrono::steady_clock::now());
+           [this](bool reachable, base::MonoTime since,
+                  const std::string& reason) {
+             if (reachable)
+               core_.directory.OnOutageEnded(since);
              OnStoreReachable("registry", reachable, reason);
            }}),
       crash_follower_(
@@ -91,7 +92,7 @@
              for (const auto& row : rows)
                OnCrashRow(row);
            },
-           [this](bool reachable, const std::string& reason) {
+           [this](bool reachable, base::MonoTime, const std::string& reason) {
              OnStoreReachable("crashes", reachable, reason);
            }}),
       members_(store_,
@@ -404,7 +405,8 @@
       {"prepaid", nlohmann::json::object()}};
   if (core_.config) {
     for (const auto& [id, service] : core_.config->services()) {
-      for (const BackendEntry* backend : core_.directory.Usable(id)) {
+      for (const BackendEntry* backend : core_.directory.Usable(
+               id, std::chrono::steady_clock::now())) {
         dump["backends"].push_back(
             {{"id", backend->id.value()},
              {"service", id.value()},
--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds kCoalesce{40};
 
 constexpr std::chrono::milliseconds kFirstRetry{100};
-constexpr std::chrono::milliseconds kMaxRetry{800};
+constexpr std::chrono::milliseconds kMaxRetry{250};
 
 }  // namespace
 
@@ -42,6 +42,7 @@
 }
 
 void TableFollower::ReadPage(const std::string& from_key) {
+  call_started_ = std::chrono::steady_clock::now();
   table_.Read(name_, "", from_key, kAnswerTime,
               [this](storage::TableAnswer answer) {
                 if (!stopped_)
@@ -82,7 +83,12 @@
 void TableFollower::Follow() {
   if (stopped_)
     return;
-  table_.Follow(name_, version_, kWait, kWait + kAnswerTime,
+  call_started_ = std::chrono::steady_clock::now();
+  // After a failure the store is asked for an answer at once, so that its return
+  // shows early.
+  const std::chrono::milliseconds wait =
+      is_reachable_ ? kWait : std::chrono::milliseconds(0);
+  table_.Follow(name_, version_, wait, wait + kAnswerTime,
                 [this](storage::TableAnswer answer) {
                   if (!stopped_)
                     OnChanges(std::move(answer));
@@ -115,6 +121,7 @@
 }
 
 void TableFollower::OnFailure(const std::string& reason) {
+  failed_call_started_ = call_started_;
   SetReachable(false, reason);
   const auto delay = std::min(kMaxRetry, kFirstRetry * (1 << failures_));
   failures_ = std::min(failures_ + 1, 3);
@@ -131,7 +138,7 @@
   if (reachable == is_reachable_)
     return;
   is_reachable_ = reachable;
-  listener_.on_reachable(reachable, reason);
+  listener_.on_reachable(reachable, failed_call_started_, reason);
 }
 
 void TableFollower::After(std::chrono::milliseconds delay,
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -26,8 +26,12 @@
     // The part was read as a whole: the rows that exist. Rows that were known
     // before and are not among them have been deleted.
     std::function<void(const std::vector<storage::VersionedRow>&)> on_snapshot;
-    // The store stopped or started to answer; `reason` is for logs.
-    std::function<void(bool is_reachable, const std::string& reason)>
+    // The store stopped or started to answer. `since` is the start of the call
+    // that failed last: when the store answers again, it was still away then.
+    // `reason` is for logs.
+    std::function<void(bool is_reachable,
+                       base::MonoTime since,
+                       const std::string& reason)>
         on_reachable;
   };
 
@@ -68,6 +72,8 @@
   bool is_reachable_ = true;
   bool stopped_ = false;
   int failures_ = 0;
+  base::MonoTime call_started_{};
+  base::MonoTime failed_call_started_{};
   base::MonoTime last_answer_{};
   std::vector<storage::VersionedRow> pages_;
   // Newest version seen of each row, so that an old answer changes nothing.
