--- /dev/null
+++ b/src/dandelionmill/base/base64.h
@@ -0,0 +1,16 @@
+#ifndef SRC_DANDELIONMILL_BASE_BASE64_H_
+#define SRC_DANDELIONMILL_BASE_BASE64_H_
+
+#include <optional>
+#include <string>
+
+namespace dandelionmill::base {
+
+std::string EncodeBase64(const std::string& bytes);
+
+// Returns nothing when `text` is not base64 with padding.
+std::optional<std::string> DecodeBase64(const std::string& text);
+
+}  // namespace dandelionmill::base
+
+#endif  // SRC_DANDELIONMILL_BASE_BASE64_H_
--- a/src/dandelionmill/platform/store_messages.cc
+++ b/src/dandelionmill/platform/store_messages.cc
@@ -1,11 +1,11 @@
 #include "dandelionmill/platform/store_messages.h"
 
-#include <openssl/evp.h>
-
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "dandelionmill/base/base64.h"
+
 namespace dandelionmill::platform {
 namespace {
 
@@ -13,34 +13,6 @@
 using storage::CallOutcome;
 using storage::RowKey;
 
-std::string EncodeBase64(const std::string& bytes) {
-  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-  const int length = EVP_EncodeBlock(
-      reinterpret_cast<unsigned char*>(text.data()),
-      reinterpret_cast<const unsigned char*>(bytes.data()),
-      static_cast<int>(bytes.size()));
-  text.resize(static_cast<std::size_t>(length));
-  return text;
-}
-
-std::optional<std::string> DecodeBase64(const std::string& text) {
-  if (text.empty())
-    return std::string();
-  std::string bytes(3 * (text.size() / 4) + 3, '\0');
-  const int length = EVP_DecodeBlock(
-      reinterpret_cast<unsigned char*>(bytes.data()),
-      reinterpret_cast<const unsigned char*>(text.data()),
-      static_cast<int>(text.size()));
-  if (length < 0)
-    return std::nullopt;
-  // EVP_DecodeBlock counts the padding as bytes.
-  std::size_t padding = 0;
-  while (padding < 2 && text[text.size() - 1 - padding] == '=')
-    ++padding;
-  bytes.resize(static_cast<std::size_t>(length) - padding);
-  return bytes;
-}
-
 json EncodeKey(const RowKey& key) {
   return {{"table", key.table}, {"part", key.part}, {"key", key.key}};
 }
@@ -100,7 +72,7 @@
   if (!row.deleted && item.contains("value")) {
     if (!item["value"].is_string())
       return std::nullopt;
-    auto value = DecodeBase64(item["value"].get<std::string>());
+    auto value = base::DecodeBase64(item["value"].get<std::string>());
     if (!value)
       return std::nullopt;
     row.value = *std::move(value);
@@ -144,7 +116,7 @@
   }
   for (const auto& item : change.puts) {
     json entry = EncodeKey(item.key);
-    entry["value"] = EncodeBase64(item.value);
+    entry["value"] = base::EncodeBase64(item.value);
     body["put"].push_back(std::move(entry));
   }
   for (const auto& item : change.deletes)
--- /dev/null
+++ b/standins/backend/scripted_engine.cc
@@ -0,0 +1,137 @@
+#include "standins/backend/scripted_engine.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+namespace standins::backend {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kLook{5};
+
+std::string Fields(const ScriptedEngine::Request& request) {
+  return "Attempt-Id: " + std::string(request["Attempt-Id"]) +
+         "\r\nServer-Signature: proof\r\nServer-Load: 1,0,8\r\n";
+}
+
+}  // namespace
+
+ScriptedEngine::ScriptedEngine(int port, Script script)
+    : acceptor_(loop_,
+                tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                              static_cast<unsigned short>(port))),
+      script_(std::move(script)) {
+  threads_.emplace_back([this] { Accept(); });
+}
+
+ScriptedEngine::~ScriptedEngine() {
+  is_stopping_ = true;
+  error_code ignored;
+  // Wakes the accepting thread.
+  tcp::socket waker(loop_);
+  waker.connect(acceptor_.local_endpoint(), ignored);
+  threads_.front().join();
+  threads_.pop_front();
+  for (tcp::socket& socket : sockets_)
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
+  for (std::thread& thread : threads_)
+    thread.join();
+}
+
+void ScriptedEngine::SetScript(Script script) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  script_ = std::move(script);
+}
+
+std::vector<ScriptedEngine::Request> ScriptedEngine::requests() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return requests_;
+}
+
+void ScriptedEngine::Accept() {
+  while (!is_stopping_) {
+    tcp::socket socket(loop_);
+    error_code error;
+    acceptor_.accept(socket, error);
+    if (error || is_stopping_)
+      continue;
+    sockets_.push_back(std::move(socket));
+    threads_.emplace_back([this, &socket = sockets_.back()] { Serve(socket); });
+  }
+}
+
+void ScriptedEngine::Serve(tcp::socket& socket) {
+  boost::beast::flat_buffer buffer;
+  for (;;) {
+    Request request;
+    error_code error;
+    http::read(socket, buffer, request, error);
+    if (error)
+      return;
+    Script script;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      requests_.push_back(request);
+      script = script_;
+    }
+    if (!Play(socket, script(request)))
+      return;
+  }
+}
+
+bool ScriptedEngine::Play(tcp::socket& socket, const Answer& answer) {
+  error_code error;
+  for (const Step& step : answer.steps) {
+    for (auto waited = std::chrono::milliseconds(0);
+         waited < step.pause_before && !is_stopping_; waited += kLook) {
+      std::this_thread::sleep_for(kLook);
+      char byte = 0;
+      const ssize_t count =
+          ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (count == 0 || (count < 0 && errno != EAGAIN)) {
+        ++abandoned_;
+        return false;
+      }
+    }
+    asio::write(socket, asio::buffer(step.bytes), error);
+    if (error)
+      return false;
+  }
+  if (answer.then == Answer::Then::kKeep)
+    return true;
+  if (answer.then == Answer::Then::kReset)
+    socket.set_option(asio::socket_base::linger(true, 0), error);
+  socket.close(error);
+  return false;
+}
+
+ScriptedEngine::Answer ScriptedEngine::Whole(const Request& request,
+                                             int status,
+                                             const std::string& body) {
+  return {{{"HTTP/1.1 " + std::to_string(status) + " X\r\n" + Fields(request) +
+            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body}}};
+}
+
+std::string ScriptedEngine::StreamHead(const Request& request) {
+  return "HTTP/1.1 200 OK\r\n" + Fields(request) +
+         "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n";
+}
+
+std::string ScriptedEngine::EventChunk(int id) {
+  const std::string event = "id: " + std::to_string(id) + "\ndata: e" +
+                            std::to_string(id) + "\n\n";
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+  return size + event + "\r\n";
+}
+
+}  // namespace standins::backend
--- /dev/null
+++ b/standins/platform/rows_server.cc
@@ -0,0 +1,199 @@
+#include "standins/platform/rows_server.h"
+
+#include <chrono>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "dandelionmill/base/base64.h"
+
+namespace standins::platform {
+namespace {
+
+using dandelionmill::base::DecodeBase64;
+using dandelionmill::base::EncodeBase64;
+using nlohmann::json;
+
+constexpr int kMaxConnections = 64;
+constexpr char kJson[] = "application/json";
+
+}  // namespace
+
+RowsServer::RowsServer(int port)
+    : server_({{"127.0.0.1", port}, kMaxConnections}) {
+  auto& routes = server_.routes();
+  const auto guard = [this](void (RowsServer::*handler)(
+                         const httplib::Request&, httplib::Response&)) {
+    return [this, handler](const httplib::Request& request,
+                           httplib::Response& response) {
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (is_down_) {
+          response.status = 503;
+          return;
+        }
+      }
+      (this->*handler)(request, response);
+    };
+  };
+  routes.Post("/api/rows-tx", guard(&RowsServer::OnCommit));
+  routes.Get("/api/rows-get", guard(&RowsServer::OnRead));
+  routes.Get("/api/rows-feed", guard(&RowsServer::OnFeed));
+  if (!dandelionmill::base::IsOk(server_.Start()))
+    throw std::runtime_error("the stand-in store cannot bind its port");
+}
+
+RowsServer::~RowsServer() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_stopping_ = true;
+  }
+  changed_.notify_all();
+  server_.Stop();
+}
+
+void RowsServer::Put(const std::string& table, const std::string& key,
+                     const json& value) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++version_;
+  Store({table, "", key}, value.dump(), false);
+  changed_.notify_all();
+}
+
+void RowsServer::Delete(const std::string& table, const std::string& key) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++version_;
+  Store({table, "", key}, "", true);
+  changed_.notify_all();
+}
+
+void RowsServer::SetDown(bool down) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_down_ = down;
+  changed_.notify_all();
+}
+
+void RowsServer::SetLoseAnswers(bool lose) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  loses_answers_ = lose;
+}
+
+json RowsServer::Value(const std::string& table, const std::string& part,
+                       const std::string& key) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = rows_.find({table, part, key});
+  return found == rows_.end() || found->second.deleted
+             ? json()
+             : json::parse(found->second.value);
+}
+
+void RowsServer::Store(const Key& key, const std::string& value, bool deleted) {
+  rows_[key] = {value, version_, deleted};
+}
+
+json RowsServer::ToJson(const Key& key, const Row& row) const {
+  json item = {{"table", std::get<0>(key)},
+               {"part", std::get<1>(key)},
+               {"key", std::get<2>(key)},
+               {"rowVersion", row.version}};
+  if (row.deleted)
+    item["tombstone"] = true;
+  else
+    item["value"] = EncodeBase64(row.value);
+  return item;
+}
+
+json RowsServer::Envelope() const {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now().time_since_epoch());
+  return {{"rows", json::array()},
+          {"rowVersion", version_},
+          {"nowMs", now.count()},
+          {"morePages", false}};
+}
+
+void RowsServer::OnCommit(const httplib::Request& request,
+                          httplib::Response& response) {
+  const json body = json::parse(request.body);
+  const auto key_of = [](const json& item) {
+    return Key{item.at("table"), item.at("part"), item.at("key")};
+  };
+  std::unique_lock<std::mutex> lock(mutex_);
+  json answer = Envelope();
+  bool conflict = false;
+  for (const json& item : body.at("expectedRevision")) {
+    const auto found = rows_.find(key_of(item));
+    const bool exists = found != rows_.end() && !found->second.deleted;
+    conflict |= item.at("rowVersion") != (exists ? found->second.version : 0);
+    if (exists)
+      answer["rows"].push_back(ToJson(found->first, found->second));
+  }
+  if (conflict) {
+    response.status = 412;
+    response.set_content(answer.dump(), kJson);
+    return;
+  }
+  ++version_;
+  for (const json& item : body.at("put"))
+    Store(key_of(item), DecodeBase64(item.at("value")).value(), false);
+  for (const json& item : body.at("remove"))
+    Store(key_of(item), "", true);
+  changed_.notify_all();
+  if (loses_answers_) {
+    // Nothing comes until the caller has given up.
+    lock.unlock();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    response.status = 500;
+    return;
+  }
+  answer = Envelope();
+  answer.erase("rows");
+  response.set_content(answer.dump(), kJson);
+}
+
+void RowsServer::OnRead(const httplib::Request& request,
+                        httplib::Response& response) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  json answer = Envelope();
+  for (const auto& [key, row] : rows_) {
+    if (std::get<0>(key) == request.get_param_value("table") &&
+        std::get<1>(key) == request.get_param_value("part") &&
+        std::get<2>(key) >= request.get_param_value("from") && !row.deleted)
+      answer["rows"].push_back(ToJson(key, row));
+  }
+  response.set_content(answer.dump(), kJson);
+}
+
+void RowsServer::OnFeed(const httplib::Request& request,
+                        httplib::Response& response) {
+  const std::string table = request.get_param_value("table");
+  const std::uint64_t after =
+      std::stoull(request.get_param_value("afterRevision"));
+  const std::chrono::milliseconds wait(
+      std::stoll(request.get_param_value("waitMs")));
+  std::unique_lock<std::mutex> lock(mutex_);
+  const auto has_news = [&] {
+    for (const auto& [key, row] : rows_) {
+      if (std::get<0>(key) == table && row.version > after)
+        return true;
+    }
+    return false;
+  };
+  changed_.wait_for(lock, wait,
+                    [&] { return is_stopping_ || is_down_ || has_news(); });
+  if (is_down_) {
+    response.status = 503;
+    return;
+  }
+  std::map<std::uint64_t, json> in_order;
+  for (const auto& [key, row] : rows_) {
+    if (std::get<0>(key) == table && row.version > after)
+      in_order[row.version] = ToJson(key, row);
+  }
+  json answer = Envelope();
+  for (auto& [version, row] : in_order)
+    answer["rows"].push_back(std::move(row));
+  response.set_content(answer.dump(), kJson);
+}
+
+}  // namespace standins::platform
--- /dev/null
+++ b/standins/platform/rows_server.h
@@ -0,0 +1,68 @@
+#ifndef STANDINS_PLATFORM_ROWS_SERVER_H_
+#define STANDINS_PLATFORM_ROWS_SERVER_H_
+
+#include <httplib.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <tuple>
+
+#include "dandelionmill/net/http_server.h"
+
+namespace standins::platform {
+
+// Stands in for the metadata store of the users' platform: rows in tables, with
+// transactions and feeds, as its published protocol says. Keeps everything in
+// memory.
+class RowsServer {
+ public:
+  // Listens on 127.0.0.1.
+  explicit RowsServer(int port);
+  ~RowsServer();
+
+  // Commands, as the operator or a backend server would give them.
+  void Put(const std::string& table, const std::string& key,
+           const nlohmann::json& value);
+  void Delete(const std::string& table, const std::string& key);
+  // Every call gets 503 until this is lifted.
+  void SetDown(bool down);
+  // Performs commits but never answers them.
+  void SetLoseAnswers(bool lose);
+
+  // Query. Returns the value of a row, or null.
+  nlohmann::json Value(const std::string& table, const std::string& part,
+                       const std::string& key);
+
+ private:
+  using Key = std::tuple<std::string, std::string, std::string>;
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool deleted = false;
+  };
+
+  void OnCommit(const httplib::Request& request, httplib::Response& response);
+  void OnRead(const httplib::Request& request, httplib::Response& response);
+  void OnFeed(const httplib::Request& request, httplib::Response& response);
+  nlohmann::json ToJson(const Key& key, const Row& row) const;
+  nlohmann::json Envelope() const;
+  void Store(const Key& key, const std::string& value, bool deleted);
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<Key, Row> rows_;
+  std::uint64_t version_ = 0;
+  bool is_down_ = false;
+  bool loses_answers_ = false;
+  bool is_stopping_ = false;
+  dandelionmill::net::HttpServer server_;
+};
+
+}  // namespace standins::platform
+
+#endif  // STANDINS_PLATFORM_ROWS_SERVER_H_
--- /dev/null
+++ b/tests/sessions/gateway/gateway_fixture.cc
@@ -0,0 +1,151 @@
+#include "tests/sessions/gateway/gateway_fixture.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gateway_test {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr milliseconds kPatience{8000};
+
+tcp::endpoint EndpointOf(int port) {
+  return {asio::ip::make_address("127.0.0.1"),
+          static_cast<unsigned short>(port)};
+}
+
+}  // namespace
+
+void GatewayFixture::Start() {
+  dandelionmill::platform::NodeSettings settings;
+  settings.instance = base::InstanceId("front-1");
+  settings.zone = base::ZoneId("north");
+  settings.region = base::RegionId("north");
+  settings.callers = {"127.0.0.1", kCallerPort};
+  settings.readiness = {"127.0.0.1", kReadyPort};
+  settings.store = {"127.0.0.1", kStorePort};
+  settings.peers = {"127.0.0.1", kPeerPort};
+  settings.shutdown_grace = milliseconds(5000);
+  loop_ = std::make_unique<asio::io_context>(1);
+  gateway_ = std::make_unique<gateway::Gateway>(*loop_, settings, 0);
+  REQUIRE(base::IsOk(gateway_->Start()));
+  has_left = false;
+  thread_ = std::thread([this] { loop_->run(); });
+  WaitUntil([this] { return IsReady(); });
+}
+
+void GatewayFixture::Stop() {
+  loop_->stop();
+  if (thread_.joinable())
+    thread_.join();
+  gateway_.reset();
+}
+
+void GatewayFixture::Leave() {
+  asio::post(*loop_, [this] {
+    gateway_->Leave([this] {
+      has_left = true;
+      loop_->stop();
+    });
+  });
+}
+
+bool GatewayFixture::IsReady() {
+  asio::io_context loop;
+  boost::beast::tcp_stream stream(loop);
+  error_code error;
+  stream.connect(EndpointOf(kReadyPort), error);
+  http::request<http::empty_body> request(http::verb::get, "/api/readiness",
+                                          11);
+  http::response<http::string_body> response;
+  boost::beast::flat_buffer buffer;
+  if (!error)
+    http::write(stream, request, error);
+  if (!error)
+    http::read(stream, buffer, response, error);
+  return !error && response.result_int() == 200;
+}
+
+ScriptedEngine& GatewayFixture::AddEngine(const std::string& id,
+                                          ScriptedEngine::Script script) {
+  const int port = next_port_++;
+  engines[id] = std::make_unique<ScriptedEngine>(port, std::move(script));
+  store.Put("servers", id,
+            {{"service", "model"},
+             {"address", "127.0.0.1:" + std::to_string(port)},
+             {"zone", "north"},
+             {"slots", 8},
+             {"state", "ready"},
+             {"born", 1}});
+  std::this_thread::sleep_for(milliseconds(150));
+  return *engines[id];
+}
+
+void GatewayFixture::WaitUntil(const std::function<bool()>& holds) {
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!holds()) {
+    REQUIRE(std::chrono::steady_clock::now() < end);
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+}
+
+Received GatewayFixture::Send(const std::string& target,
+                              std::map<std::string, std::string> fields,
+                              const std::string& body) {
+  fields.emplace("Host", "a.example");
+  fields.emplace("Attempt-Id", "attempt-" + std::to_string(next_attempt_++));
+  fields.emplace("Authorization", "Bearer secret");
+  fields.emplace("Deadline-Milliseconds", "5000");
+  http::request<http::string_body> request(http::verb::post, target, 11);
+  for (const auto& [name, value] : fields)
+    request.set(name, value);
+  request.body() = body;
+  request.prepare_payload();
+  asio::io_context loop;
+  tcp::socket socket(loop);
+  error_code error;
+  socket.connect(EndpointOf(kCallerPort), error);
+  http::write(socket, request, error);
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  http::read(socket, buffer, parser, error);
+  Received received;
+  received.is_cut = !parser.is_done();
+  const auto& response = parser.get();
+  received.status = static_cast<int>(response.result_int());
+  received.body = response.body();
+  for (const auto& field : response)
+    received.fields[std::string(field.name_string())] =
+        std::string(field.value());
+  return received;
+}
+
+std::string GatewayFixture::Exchange(const std::string& bytes) {
+  asio::io_context loop;
+  boost::beast::tcp_stream stream(loop);
+  error_code error;
+  stream.connect(EndpointOf(kCallerPort), error);
+  asio::write(stream, asio::buffer(bytes), error);
+  std::string all;
+  std::array<char, 4096> part;
+  bool open = true;
+  while (open) {
+    stream.expires_after(std::chrono::seconds(1));
+    stream.async_read_some(asio::buffer(part),
+                           [&](error_code problem, std::size_t count) {
+                             all.append(part.data(), count);
+                             open = !problem;
+                           });
+    loop.restart();
+    loop.run();
+  }
+  return all;
+}
+
+}  // namespace gateway_test
--- /dev/null
+++ b/tests/sessions/gateway/gateway_fixture.h
@@ -0,0 +1,114 @@
+#ifndef TESTS_SESSIONS_GATEWAY_GATEWAY_FIXTURE_H_
+#define TESTS_SESSIONS_GATEWAY_GATEWAY_FIXTURE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+
+#include "dandelionmill/gateway/gateway.h"
+#include "standins/backend/scripted_engine.h"
+#include "standins/platform/rows_server.h"
+
+namespace gateway_test {
+
+namespace base = dandelionmill::base;
+namespace gateway = dandelionmill::gateway;
+using nlohmann::json;
+using standins::backend::ScriptedEngine;
+using Request = ScriptedEngine::Request;
+using Answer = ScriptedEngine::Answer;
+using std::chrono::milliseconds;
+
+inline constexpr int kStorePort = 28100;
+inline constexpr int kCallerPort = 28101;
+inline constexpr int kReadyPort = 28102;
+inline constexpr int kPeerPort = 28103;
+inline constexpr int kFirstEnginePort = 28110;
+
+// Routes: /safe/ (idempotent, 2 attempts), /once/ (not idempotent), /stream/
+// (resumable, 2 attempts), /single/ (a stream that runs once).
+inline json DesiredState(int version, std::int64_t prepaid = 100000) {
+  const auto route = [](const char* prefix, const char* kind, int attempts,
+                        bool resumable) {
+    return json{{"name", prefix},       {"host", "a.example"},
+                {"prefix", prefix},     {"kind", kind},
+                {"service", "model"},   {"attempts", attempts},
+                {"timeoutMs", 1500},    {"targetLatencyMs", 300},
+                {"targetGapMs", 200},   {"priority", 1},
+                {"resumable", resumable}};
+  };
+  return {{"version", version},
+          {"routes",
+           {route("/safe/", "safe", 2, false),
+            route("/once/", "unsafe", 1, false),
+            route("/stream/", "streaming", 2, true),
+            route("/single/", "streaming", 1, false)}},
+          {"services",
+           {{{"name", "model"},
+             {"connectionLimit", 64},
+             {"engine",
+              {{"slots", 8}, {"kvCacheTokens", 100000}, {"stride", 5}}}}}},
+          {"limits",
+           {{"maxHeaderBytes", 16384},
+            {"maxBodyBytes", 100000},
+            {"headerTimeoutMs", 400},
+            {"idleTimeoutMs", 5000}}},
+          {"tenants",
+           {{{"name", "painters"},
+             {"apiKeys", {"secret"}},
+             {"prepaid", prepaid}}}}};
+}
+
+// What a caller got.
+struct Received {
+  int status = 0;
+  std::string body;
+  std::map<std::string, std::string> fields;
+  // The connection ended before the answer was complete.
+  bool is_cut = false;
+};
+
+// A gateway process in a thread, with a stand-in store and engines.
+class GatewayFixture {
+ public:
+  explicit GatewayFixture(json state = DesiredState(1)) : store(kStorePort) {
+    store.Put("op", "config", state);
+    Start();
+  }
+  ~GatewayFixture() { Stop(); }
+
+  void Start();
+  void Stop();
+  // Asks the process to leave; returns when it has, or after the grace.
+  void Leave();
+  bool IsReady();
+  // Registers an engine that answers as the script says.
+  ScriptedEngine& AddEngine(const std::string& id, ScriptedEngine::Script s);
+  void WaitUntil(const std::function<bool()>& holds);
+  Received Send(const std::string& target,
+                std::map<std::string, std::string> fields = {},
+                const std::string& body = "{}");
+  // Sends bytes and returns all that comes until the connection closes, or for
+  // a second.
+  std::string Exchange(const std::string& bytes);
+
+  standins::platform::RowsServer store;
+  std::map<std::string, std::unique_ptr<ScriptedEngine>> engines;
+  std::atomic<bool> has_left{false};
+
+ private:
+  std::unique_ptr<boost::asio::io_context> loop_;
+  std::unique_ptr<gateway::Gateway> gateway_;
+  std::thread thread_;
+  int next_port_ = kFirstEnginePort;
+  int next_attempt_ = 1;
+};
+
+}  // namespace gateway_test
+
+#endif  // TESTS_SESSIONS_GATEWAY_GATEWAY_FIXTURE_H_
