--- a/src/dandelionmill/control/internal/budget_lease_writes.cc
+++ b/src/dandelionmill/control/internal/budget_lease_writes.cc
@@ -243,8 +243,8 @@
   entry.written = entry.lease.Prepare(std::move(row), entry.version, change);
   entry.transaction =
       storage::Transaction{{{budget::RowKey(entry.key), entry.version,
-                              budget::ToJson(entry.written), false},
-                             holder_.Check()}};
+                             budget::ToJson(entry.written), false},
+                            holder_.Check()}};
   entry.sent_before = false;
   Send(entry);
 }
--- a/src/dandelionmill/ctl/budget_rows.cc
+++ b/src/dandelionmill/ctl/budget_rows.cc
@@ -34,7 +34,7 @@
 }
 
 storage::RowWrite CreateRow(const budget::BudgetKey& key,
-                             base::Tokens granted) {
+                            base::Tokens granted) {
   budget::Row row;
   row.granted = granted;
   return {budget::RowKey(key), 0, budget::ToJson(row)};
@@ -51,8 +51,8 @@
 }
 
 base::Result<storage::RowWrite> SetGrant(storage::TableReader& table,
-                                          const budget::BudgetKey& key,
-                                          base::Tokens granted) {
+                                         const budget::BudgetKey& key,
+                                         base::Tokens granted) {
   const base::Result<storage::Row> row = table.Read(budget::RowKey(key));
   if (!base::IsOk(row))
     return base::ErrorOf(row);
@@ -66,7 +66,7 @@
   if (!base::IsOk(changed))
     return Name(key, base::ErrorOf(changed));
   return storage::RowWrite{budget::RowKey(key), base::ValueOf(row).version,
-                            budget::ToJson(base::ValueOf(changed))};
+                           budget::ToJson(base::ValueOf(changed))};
 }
 
 }  // namespace dandelionmill::ctl
--- a/src/dandelionmill/ctl/budget_rows.h
+++ b/src/dandelionmill/ctl/budget_rows.h
@@ -18,8 +18,7 @@
                      const inventory::Document& after);
 
 // Returns the write that creates the row of a budget that has none.
-storage::RowWrite CreateRow(const budget::BudgetKey& key,
-                             base::Tokens granted);
+storage::RowWrite CreateRow(const budget::BudgetKey& key, base::Tokens granted);
 
 // Reads a budget's row; one that does not exist is all zero. Fails with
 // kStoreUnavailable or kMalformedMessage.
@@ -31,8 +30,8 @@
 // kBudgetFloor when the grant is below what is settled and leased, and as
 // ReadBudget.
 base::Result<storage::RowWrite> SetGrant(storage::TableReader& table,
-                                          const budget::BudgetKey& key,
-                                          base::Tokens granted);
+                                         const budget::BudgetKey& key,
+                                         base::Tokens granted);
 
 }  // namespace dandelionmill::ctl
 
--- a/src/dandelionmill/ctl/commit.cc
+++ b/src/dandelionmill/ctl/commit.cc
@@ -49,8 +49,8 @@
                                   const inventory::Head& head,
                                   const Grants& grants);
   base::Result<storage::Transaction> Prepare(const Accepted& accepted,
-                                              const inventory::Head& head,
-                                              const Grants& grants);
+                                             const inventory::Head& head,
+                                             const Grants& grants);
 
   const Stores stores_;
   const ChangeRequest& request_;
--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -1,10 +1,10 @@
 #include "dandelionmill/gateway/backend_call.h"
 
 #include <array>
-#include <limits>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <limits>
 #include <utility>
 
 #include "dandelionmill/platform/headers.h"
@@ -117,8 +117,7 @@
   for (;;) {
     if (!parser_->is_header_done()) {
       error_code error;
-      const std::size_t used =
-          parser_->put(connection_->buffer.data(), error);
+      const std::size_t used = parser_->put(connection_->buffer.data(), error);
       connection_->buffer.consume(used);
       if (error == http::error::need_more)
         return true;
--- a/src/dandelionmill/gateway/backend_directory.h
+++ b/src/dandelionmill/gateway/backend_directory.h
@@ -18,8 +18,8 @@
 class BackendDirectory {
  public:
   // How long after the end of an outage of the registry a backend server whose
-  // entry is missing stays usable. Living ones are back within about two seconds;
-  // one that has left must get nothing after two and a half.
+  // entry is missing stays usable. Living ones are back within about two
+  // seconds; one that has left must get nothing after two and a half.
   static constexpr std::chrono::milliseconds kReturnTime{2200};
 
   // Commands.
--- a/src/dandelionmill/gateway/caller_session.cc
+++ b/src/dandelionmill/gateway/caller_session.cc
@@ -51,9 +51,8 @@
   const std::size_t codings = CountOf(fields, http::field::transfer_encoding);
   if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0))
     return "more than one framing";
-  if (codings == 1 &&
-      !boost::algorithm::iequals(fields[http::field::transfer_encoding],
-                                 "chunked"))
+  if (codings == 1 && !boost::algorithm::iequals(
+                          fields[http::field::transfer_encoding], "chunked"))
     return "unknown transfer coding";
   if (CountOf(fields, http::field::host) != 1)
     return "not exactly one host";
@@ -154,8 +153,8 @@
 
 void CallerSession::OnRequest() {
   timer_.cancel();
-  exchange_ = std::make_shared<Exchange>(
-      core_, static_cast<CallerPort&>(*this), parser_->release());
+  exchange_ = std::make_shared<Exchange>(core_, static_cast<CallerPort&>(*this),
+                                         parser_->release());
   // Reading goes on, so that a close is seen while the answer is awaited.
   if (!is_receiving_ && buffer_.size() < kMaxPipelinedBytes)
     Receive();
--- a/src/dandelionmill/gateway/connection_pool.cc
+++ b/src/dandelionmill/gateway/connection_pool.cc
@@ -31,8 +31,8 @@
 // Returns whether nothing has arrived and the peer has not closed.
 bool IsQuiet(tcp::socket& socket) {
   char byte = 0;
-  const ssize_t count = ::recv(socket.native_handle(), &byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t count =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -134,8 +134,7 @@
 
 void ConnectionPool::Connect(const BackendEntry& backend, Handler handler) {
   ++opened_;
-  std::make_shared<Connecting>(loop_, std::move(handler))
-      ->Run(backend.address);
+  std::make_shared<Connecting>(loop_, std::move(handler))->Run(backend.address);
 }
 
 void ConnectionPool::Keep(const BackendEntry& backend,
@@ -161,8 +160,8 @@
     connections.erase(
         std::remove_if(connections.begin(), connections.end(),
                        [now](const BackendConnectionPtr& connection) {
-                         return !IsFresh(*connection,
-                                         connection->idle_timeout, now);
+                         return !IsFresh(*connection, connection->idle_timeout,
+                                         now);
                        }),
         connections.end());
     at = connections.empty() ? idle_.erase(at) : std::next(at);
--- a/src/dandelionmill/gateway/crash_guard.cc
+++ b/src/dandelionmill/gateway/crash_guard.cc
@@ -59,8 +59,7 @@
 
 bool CrashGuard::IsQuarantined(const std::string& digest) const {
   const auto found = records_.find(digest);
-  return found != records_.end() &&
-         found->second.crashed.size() >= kMaxCrashes;
+  return found != records_.end() && found->second.crashed.size() >= kMaxCrashes;
 }
 
 }  // namespace dandelionmill::gateway
--- a/src/dandelionmill/gateway/crash_guard.h
+++ b/src/dandelionmill/gateway/crash_guard.h
@@ -15,9 +15,9 @@
 namespace dandelionmill::gateway {
 
 // Finds the requests that crash each backend server that runs them. A broken
-// attempt counts as a crash once the backend server refuses connections. A request
-// that was running in crashes of two backend servers is refused from then on.
-// Instances share what they saw as rows. Pure.
+// attempt counts as a crash once the backend server refuses connections. A
+// request that was running in crashes of two backend servers is refused from
+// then on. Instances share what they saw as rows. Pure.
 class CrashGuard {
  public:
   // Crashes of distinct backend servers after which a request is refused.
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -103,8 +103,8 @@
   }
   terms_ = base::ValueOf(std::move(terms));
   if (terms_.attempt.empty()) {
-    return RefuseNotRun(base::Code::kMalformedRequest,
-                        "the request has no id", std::nullopt);
+    return RefuseNotRun(base::Code::kMalformedRequest, "the request has no id",
+                        std::nullopt);
   }
   config_ = core_.config;
   if (!config_) {
@@ -117,9 +117,8 @@
     return RefuseNotRun(base::Code::kUnknownService,
                         "no route for this host and path", std::nullopt);
   }
-  account_ = terms_.api_key.empty()
-                 ? nullptr
-                 : config_->FindAccountByKey(terms_.api_key);
+  account_ = terms_.api_key.empty() ? nullptr
+                                    : config_->FindAccountByKey(terms_.api_key);
   if (config_->has_accounts() && !route_->is_public && account_ == nullptr) {
     return RefuseNotRun(base::Code::kUnauthorized, "unknown API key",
                         std::nullopt);
@@ -127,8 +126,8 @@
   service_ = config_->FindService(
       PickService(*route_, base::StableHash(terms_.attempt.value())));
   if (service_ == nullptr) {
-    return RefuseNotRun(base::Code::kNoBackend, "the route's service is unknown",
-                        kRetryWithoutBackend);
+    return RefuseNotRun(base::Code::kNoBackend,
+                        "the route's service is unknown", kRetryWithoutBackend);
   }
   deadline_ = begun_ + std::min(terms_.time_left.value_or(route_->timeout),
                                 route_->timeout);
@@ -142,9 +141,10 @@
                         kRetryElsewhere);
   }
   const std::string account = account_ == nullptr ? "" : account_->id.value();
-  digest_ = std::to_string(base::StableHash(
-                account + "\n" + std::string(target) + "\n" + request_.body())) +
-            "-" + std::to_string(request_.body().size());
+  digest_ =
+      std::to_string(base::StableHash(account + "\n" + std::string(target) +
+                                      "\n" + request_.body())) +
+      "-" + std::to_string(request_.body().size());
   if (core_.guard.IsQuarantined(digest_)) {
     return RefuseNotRun(base::Code::kQuarantined,
                         "backend servers crashed while running this request",
@@ -240,10 +240,10 @@
     return;
   }
   ArmTimer();
-  core_.pool.Connect(*backend_, [self = shared_from_this()](
-                                    ConnectionPool::Result result) {
-    self->OnConnected(std::move(result));
-  });
+  core_.pool.Connect(
+      *backend_, [self = shared_from_this()](ConnectionPool::Result result) {
+        self->OnConnected(std::move(result));
+      });
 }
 
 void Exchange::OnConnected(ConnectionPool::Result result) {
@@ -374,9 +374,9 @@
     return;
   const base::MonoTime now = steady_clock::now();
   if (std::exchange(prompt_open_, false)) {
-    core_.placement.OnFirstEvent(
-        backend_->id, uncached_tokens_,
-        duration_cast<milliseconds>(now - sent_at_), expected_wait_, now);
+    core_.placement.OnFirstEvent(backend_->id, uncached_tokens_,
+                                 duration_cast<milliseconds>(now - sent_at_),
+                                 expected_wait_, now);
   }
   if (events_ == 0)
     first_event_at_ = now;
@@ -410,8 +410,9 @@
   if (chunked)
     head += "Transfer-Encoding: chunked\r\n";
   else if (request_.method() == http::verb::head)
-    head += "Content-Length: " +
-            std::string(fields_[http::field::content_length]) + "\r\n";
+    head +=
+        "Content-Length: " + std::string(fields_[http::field::content_length]) +
+        "\r\n";
   else if (!has_no_body)
     head += "Content-Length: " + std::to_string(length) + "\r\n";
   if (!caller_keeps_connection_ || core_.is_leaving)
@@ -484,8 +485,8 @@
     Place();
     return;
   }
-  Refuse(RefuseNotRun(base::Code::kOverloaded,
-                      "the backend servers are full", kRetryWhenFull));
+  Refuse(RefuseNotRun(base::Code::kOverloaded, "the backend servers are full",
+                      kRetryWhenFull));
 }
 
 void Exchange::OnFailureStatus() {
@@ -596,8 +597,7 @@
   EndAttempt(AttemptEnd::kAbandoned);
   if (sends_ == 0) {
     Refuse(RefuseNotRun(base::Code::kDeadlineExceeded,
-                        "no backend server was reached in time",
-                        std::nullopt));
+                        "no backend server was reached in time", std::nullopt));
     return;
   }
   Refuse(FailAfterRun(base::Code::kDeadlineExceeded, 504,
@@ -621,17 +621,16 @@
   if (is_finished_)
     return;
   EndAttempt(AttemptEnd::kAbandoned);
-  Refuse(sends_ == 0 ? RefuseNotRun(base::Code::kLeaving,
-                                    "the instance is shutting down",
-                                    kRetryElsewhere)
-                     : FailAfterRun(base::Code::kLeaving, 502,
-                                    "the instance is shutting down"));
+  Refuse(sends_ == 0
+             ? RefuseNotRun(base::Code::kLeaving,
+                            "the instance is shutting down", kRetryElsewhere)
+             : FailAfterRun(base::Code::kLeaving, 502,
+                            "the instance is shutting down"));
 }
 
 void Exchange::Refuse(const Refusal& refusal) {
   const int code = static_cast<int>(refusal.code);
-  const char* outcome =
-      refusal.ran == base::Ran::kNo ? "refused" : "failed";
+  const char* outcome = refusal.ran == base::Ran::kNo ? "refused" : "failed";
   if (head_sent_) {
     caller_->Abort();
     caller_ = nullptr;
@@ -647,8 +646,8 @@
   if (reserved_ == 0)
     return;
   base::Tokens used = 0;
-  const bool ran = events_ > 0 || may_have_run_ ||
-                   (sends_ > 0 && !answer_.not_executed);
+  const bool ran =
+      events_ > 0 || may_have_run_ || (sends_ > 0 && !answer_.not_executed);
   if (ran) {
     // An answer that is no stream may hold all tokens.
     const base::Tokens output =
@@ -675,9 +674,8 @@
   --core_.open_exchanges;
   const base::MonoTime now = steady_clock::now();
   const auto since = [this](base::MonoTime at) {
-    return at == base::MonoTime()
-               ? milliseconds(-1)
-               : duration_cast<milliseconds>(at - begun_);
+    return at == base::MonoTime() ? milliseconds(-1)
+                                  : duration_cast<milliseconds>(at - begun_);
   };
   const char* kind = route_ == nullptr ? "unrouted" : ToString(route_->kind);
   log::Event(log::Level::kInfo, "request_ended")
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -88,7 +88,9 @@
   void OnDeadline();
   bool IsBackendSilent(base::MonoTime now) const;
   void Refuse(const Refusal& refusal);
-  void Finish(const char* outcome, int status, int code,
+  void Finish(const char* outcome,
+              int status,
+              int code,
               const std::string& detail);
   void SettleTokens();
   std::chrono::milliseconds TimeLeft() const;
--- a/src/dandelionmill/gateway/fleet_config.cc
+++ b/src/dandelionmill/gateway/fleet_config.cc
@@ -37,11 +37,10 @@
   for (std::size_t i = 0; i < routes_.size(); ++i)
     by_host_[routes_[i].host].push_back(i);
   for (auto& [host, indexes] : by_host_) {
-    std::stable_sort(indexes.begin(), indexes.end(),
-                     [this](std::size_t a, std::size_t b) {
-                       return routes_[a].path_prefix.size() >
-                              routes_[b].path_prefix.size();
-                     });
+    std::stable_sort(
+        indexes.begin(), indexes.end(), [this](std::size_t a, std::size_t b) {
+          return routes_[a].path_prefix.size() > routes_[b].path_prefix.size();
+        });
   }
   for (std::size_t i = 0; i < accounts_.size(); ++i) {
     for (const std::string& key : accounts_[i].api_keys)
--- a/src/dandelionmill/gateway/fleet_members.cc
+++ b/src/dandelionmill/gateway/fleet_members.cc
@@ -42,10 +42,9 @@
     return;
   is_under_way_ = true;
   storage::RowChange change;
-  change.puts.push_back(
-      {OwnKey(), json{{"process", self_.process},
-                      {"peer", net::ToString(self_.peers)}}
-                     .dump()});
+  change.puts.push_back({OwnKey(), json{{"process", self_.process},
+                                        {"peer", net::ToString(self_.peers)}}
+                                       .dump()});
   table_.Commit(std::move(change), kTimeout, [this](storage::TableAnswer) {
     if (has_left_)
       return;
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -66,7 +66,9 @@
           }),
       borrower_(loop, lending_, settings.instance),
       config_follower_(
-          loop, store_, platform::kDesiredStateTable,
+          loop,
+          store_,
+          platform::kDesiredStateTable,
           {[this](const auto& row) { OnConfigRow(row); },
            [this](const auto& rows) {
              for (const auto& row : rows)
@@ -75,18 +77,22 @@
            [this](bool reachable, base::MonoTime, const std::string& reason) {
              OnStoreReachable("config", reachable, reason);
            }}),
-      backend_follower_(
-          loop, store_, platform::kRegistryTable,
-          {[this](const auto& row) { OnBackendRow(row); },
-           [this](const auto& rows) { OnBackendRows(rows); },
-           [this](bool reachable, base::MonoTime since,
-                  const std::string& reason) {
-             if (reachable)
-               core_.directory.OnOutageEnded(since);
-             OnStoreReachable("registry", reachable, reason);
-           }}),
+      backend_follower_(loop,
+                        store_,
+                        platform::kRegistryTable,
+                        {[this](const auto& row) { OnBackendRow(row); },
+                         [this](const auto& rows) { OnBackendRows(rows); },
+                         [this](bool reachable,
+                                base::MonoTime since,
+                                const std::string& reason) {
+                           if (reachable)
+                             core_.directory.OnOutageEnded(since);
+                           OnStoreReachable("registry", reachable, reason);
+                         }}),
       crash_follower_(
-          loop, store_, kCrashTable,
+          loop,
+          store_,
+          kCrashTable,
           {[this](const auto& row) { OnCrashRow(row); },
            [this](const auto& rows) {
              for (const auto& row : rows)
@@ -264,9 +270,9 @@
   const std::size_t at = row.key.key.find(' ');
   if (row.deleted || at == std::string::npos)
     return;
-  core_.guard.Learn({row.key.key.substr(0, at),
-                     base::BackendId(row.key.key.substr(at + 1))},
-                    std::chrono::steady_clock::now());
+  core_.guard.Learn(
+      {row.key.key.substr(0, at), base::BackendId(row.key.key.substr(at + 1))},
+      std::chrono::steady_clock::now());
 }
 
 void Gateway::ShareCrashes() {
@@ -405,8 +411,8 @@
       {"prepaid", nlohmann::json::object()}};
   if (core_.config) {
     for (const auto& [id, service] : core_.config->services()) {
-      for (const BackendEntry* backend : core_.directory.Usable(
-               id, std::chrono::steady_clock::now())) {
+      for (const BackendEntry* backend :
+           core_.directory.Usable(id, std::chrono::steady_clock::now())) {
         dump["backends"].push_back(
             {{"id", backend->id.value()},
              {"service", id.value()},
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -47,7 +47,8 @@
   void OnBackendRow(const storage::VersionedRow& row);
   void OnBackendRows(const std::vector<storage::VersionedRow>& rows);
   void OnCrashRow(const storage::VersionedRow& row);
-  void OnStoreReachable(const char* what, bool reachable,
+  void OnStoreReachable(const char* what,
+                        bool reachable,
                         const std::string& reason);
   void OnInstances(int count, std::vector<peer::Instance> others);
   void ShareCrashes();
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -37,8 +37,8 @@
 // others wait.
 constexpr double kWaitCostPerMs = 20;
 
-// Part of the latency objective up to which an answer is surely in time, and the
-// most that a late one counts.
+// Part of the latency objective up to which an answer is surely in time, and
+// the most that a late one counts.
 constexpr double kSafePart = 0.4;
 constexpr double kMaxLateRisk = 6;
 
@@ -127,8 +127,8 @@
     state.incarnation = backend.incarnation;
     const auto cache = cache_tokens_.find(backend.service);
     // Half: running requests need the same memory.
-    state.prompts.SetCapacity(
-        cache == cache_tokens_.end() ? 0 : cache->second / 2);
+    state.prompts.SetCapacity(cache == cache_tokens_.end() ? 0
+                                                           : cache->second / 2);
   }
   return state;
 }
@@ -162,9 +162,9 @@
   const double ratio =
       (static_cast<double>(waited.count()) + kSlownessFloorMs) /
       (static_cast<double>(expected.count()) + kSlownessFloorMs);
-  state.slowness = std::clamp(
-      Slowness(state, now) * std::pow(ratio, kSlownessWeight), kMinSlowness,
-      kMaxSlowness);
+  state.slowness =
+      std::clamp(Slowness(state, now) * std::pow(ratio, kSlownessWeight),
+                 kMinSlowness, kMaxSlowness);
   state.slowness_at = now;
 }
 
@@ -191,7 +191,8 @@
       break;
     case AttemptEnd::kBroken: {
       const int doubled = std::min(state.failures_in_a_row, 3);
-      state.avoid_until = now + std::min(kMaxAvoid, kFirstAvoid * (1 << doubled));
+      state.avoid_until =
+          now + std::min(kMaxAvoid, kFirstAvoid * (1 << doubled));
       ++state.failures_in_a_row;
       state.prompts.Clear();
       break;
@@ -327,8 +328,8 @@
     const PlacementRequest& request,
     base::MonoTime now) {
   const SharedPrompt shared = FindShared(usable, request);
-  const double objective =
-      std::max<double>(1, static_cast<double>(request.latency_objective.count()));
+  const double objective = std::max<double>(
+      1, static_cast<double>(request.latency_objective.count()));
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
   std::optional<PlacementChoice> best;
   double best_cost = 0;
@@ -348,12 +349,11 @@
         uncached =
             std::max<base::Tokens>(1, request.model->prompt_tokens - cached);
       }
-      const double wait = jitter(random_) * ExpectedWaitMs(*backend, state,
-                                                           request, uncached,
-                                                           now);
-      const double late =
-          std::clamp((wait / objective - kSafePart) / (1 - kSafePart), 0.0,
-                     kMaxLateRisk);
+      const double wait =
+          jitter(random_) *
+          ExpectedWaitMs(*backend, state, request, uncached, now);
+      const double late = std::clamp(
+          (wait / objective - kSafePart) / (1 - kSafePart), 0.0, kMaxLateRisk);
       const double cost =
           kLateCost * late + kWaitCostPerMs * wait +
           ReadAgainCost(*backend, state, request, shared) +
@@ -361,9 +361,9 @@
           (backend->zone == request.zone ? 0
                                          : static_cast<double>(request.bytes));
       if (!best || cost < best_cost) {
-        best = PlacementChoice{
-            backend, milliseconds(static_cast<std::int64_t>(wait)), uncached,
-            backend == shared.home};
+        best = PlacementChoice{backend,
+                               milliseconds(static_cast<std::int64_t>(wait)),
+                               uncached, backend == shared.home};
         best_cost = cost;
       }
     }
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -86,14 +86,15 @@
   kAbandoned,
 };
 
-// Decides which backend server gets a request: the one where it costs least. The
-// cost weighs the risk of a late answer, given the requests that this instance
-// has there and what the backend server last said about its load, against shared
-// prompt parts that would be read again, traffic between availability zones, and
-// recent failures. Each shared prompt has a home, the backend server that ranks
-// first by hash, so that instances agree on it without talking; one that is asked
-// for often from another zone is copied there once the traffic has cost as much
-// as reading it. Pure but for its random tie-breaking.
+// Decides which backend server gets a request: the one where it costs least.
+// The cost weighs the risk of a late answer, given the requests that this
+// instance has there and what the backend server last said about its load,
+// against shared prompt parts that would be read again, traffic between
+// availability zones, and recent failures. Each shared prompt has a home, the
+// backend server that ranks first by hash, so that instances agree on it
+// without talking; one that is asked for often from another zone is copied
+// there once the traffic has cost as much as reading it. Pure but for its
+// random tie-breaking.
 class Placement {
  public:
   explicit Placement(std::uint64_t seed) : random_(seed) {}
@@ -152,7 +153,8 @@
     // Not used before.
     base::MonoTime avoid_until{};
     int failures_in_a_row = 0;
-    // Waits over what is expected of any backend server, as a factor that fades.
+    // Waits over what is expected of any backend server, as a factor that
+    // fades.
     double slowness = 1;
     base::MonoTime slowness_at{};
     base::MonoTime alive_at{};
--- a/src/dandelionmill/gateway/refusal.cc
+++ b/src/dandelionmill/gateway/refusal.cc
@@ -46,8 +46,7 @@
 Refusal RefuseNotRun(base::Code code,
                      std::string detail,
                      std::optional<std::chrono::milliseconds> retry_after) {
-  return {StatusOf(code), code, base::Ran::kNo, retry_after,
-          std::move(detail)};
+  return {StatusOf(code), code, base::Ran::kNo, retry_after, std::move(detail)};
 }
 
 Refusal FailAfterRun(base::Code code, int status, std::string detail) {
@@ -64,8 +63,7 @@
                      {"ran", base::ToString(refusal.ran)}}
           .dump();
   const auto reason = boost::beast::http::obsolete_reason(
-      boost::beast::http::int_to_status(
-          static_cast<unsigned>(refusal.status)));
+      boost::beast::http::int_to_status(static_cast<unsigned>(refusal.status)));
   std::string answer = "HTTP/1.1 " + std::to_string(refusal.status) + " " +
                        std::string(reason) + "\r\n";
   platform::AppendAttemptField(attempt, answer);
--- a/src/dandelionmill/gateway/retry_allowance.cc
+++ b/src/dandelionmill/gateway/retry_allowance.cc
@@ -12,8 +12,7 @@
 RetryAllowance::Slice& RetryAllowance::Current(base::MonoTime now) {
   while (!slices_.empty() && slices_.front().begin <= now - limits_.window)
     slices_.pop_front();
-  if (slices_.empty() ||
-      now >= slices_.back().begin + limits_.window / kSlices)
+  if (slices_.empty() || now >= slices_.back().begin + limits_.window / kSlices)
     slices_.push_back({now});
   return slices_.back();
 }
--- a/src/dandelionmill/gateway/status_server.cc
+++ b/src/dandelionmill/gateway/status_server.cc
@@ -34,9 +34,9 @@
   if (!error)
     acceptor.listen(kBacklog, error);
   if (error) {
-    return base::Error{base::Code::kBadSetting, net::ToString(address) +
-                                                    " cannot be bound: " +
-                                                    error.message()};
+    return base::Error{
+        base::Code::kBadSetting,
+        net::ToString(address) + " cannot be bound: " + error.message()};
   }
   return base::Unit{};
 }
@@ -49,11 +49,12 @@
   void Read() {
     request_ = {};
     stream_.expires_after(kSessionTimeout);
-    http::async_read(stream_, buffer_, request_,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                       if (!error)
-                         self->Answer();
-                     });
+    http::async_read(
+        stream_, buffer_, request_,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          if (!error)
+            self->Answer();
+        });
   }
 
  private:
@@ -66,12 +67,12 @@
     answer_.keep_alive(request_.keep_alive());
     answer_.body() = std::move(page.body);
     answer_.prepare_payload();
-    http::async_write(stream_, answer_,
-                      [self = shared_from_this()](error_code error,
-                                                  std::size_t) {
-                        if (!error && self->answer_.keep_alive())
-                          self->Read();
-                      });
+    http::async_write(
+        stream_, answer_,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          if (!error && self->answer_.keep_alive())
+            self->Read();
+        });
   }
 
   const StatusServer& server_;
--- a/src/dandelionmill/gateway/status_server.h
+++ b/src/dandelionmill/gateway/status_server.h
@@ -24,8 +24,7 @@
   using Maker = std::function<Page()>;
 
   // `loop` must outlive the server.
-  explicit StatusServer(boost::asio::io_context& loop)
-      : acceptor_(loop) {}
+  explicit StatusServer(boost::asio::io_context& loop) : acceptor_(loop) {}
 
   // Serves what `maker` returns at `path`.
   void AddPage(const std::string& path, Maker maker);
--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -63,8 +63,7 @@
   // The next page begins after the last key: the smallest text above it.
   const std::string next =
       has_more ? answer.rows.back().key.key + '\x01' : std::string();
-  std::move(answer.rows.begin(), answer.rows.end(),
-            std::back_inserter(pages_));
+  std::move(answer.rows.begin(), answer.rows.end(), std::back_inserter(pages_));
   if (has_more) {
     ReadPage(next);
     return;
@@ -84,8 +83,8 @@
   if (stopped_)
     return;
   call_started_ = std::chrono::steady_clock::now();
-  // After a failure the store is asked for an answer at once, so that its return
-  // shows early.
+  // After a failure the store is asked for an answer at once, so that its
+  // return shows early.
   const std::chrono::milliseconds wait =
       is_reachable_ ? kWait : std::chrono::milliseconds(0);
   table_.Follow(name_, version_, wait, wait + kAnswerTime,
@@ -126,8 +125,8 @@
   const auto delay = std::min(kMaxRetry, kFirstRetry * (1 << failures_));
   failures_ = std::min(failures_ + 1, 3);
   // Following again is enough: lost history shows as its own outcome.
-  After(delay, has_snapshot_ ? &TableFollower::Follow
-                             : &TableFollower::ReadAll);
+  After(delay,
+        has_snapshot_ ? &TableFollower::Follow : &TableFollower::ReadAll);
 }
 
 void TableFollower::SetReachable(bool reachable, const std::string& reason) {
--- a/src/dandelionmill/log/event.cc
+++ b/src/dandelionmill/log/event.cc
@@ -92,9 +92,9 @@
 }  // namespace
 
 void Initialize(std::string_view process, Level level) {
-  InstallAppender(process, level,
-                  log4cplus::SharedAppenderPtr(
-                      new log4cplus::ConsoleAppender(true, true)));
+  InstallAppender(
+      process, level,
+      log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)));
 }
 
 void InitializeBounded(std::string_view process, Level level, int lines_per_s) {
--- a/src/dandelionmill/peer/borrower.cc
+++ b/src/dandelionmill/peer/borrower.cc
@@ -28,11 +28,10 @@
 
 bool Borrower::IsOwner(const base::AccountId& account) const {
   const std::uint64_t own = RankOf(account, self_);
-  return std::none_of(others_.begin(), others_.end(),
-                      [&](const Instance& other) {
-                        return RankOf(account, other.id) > own &&
-                               !IsSilent(other.id);
-                      });
+  return std::none_of(
+      others_.begin(), others_.end(), [&](const Instance& other) {
+        return RankOf(account, other.id) > own && !IsSilent(other.id);
+      });
 }
 
 std::vector<Instance> Borrower::InRankOrder(
--- a/src/dandelionmill/peer/borrower.h
+++ b/src/dandelionmill/peer/borrower.h
@@ -22,8 +22,8 @@
 
 // Decides which instance owns an account, and asks it for prepaid tokens. The
 // owner is the instance that ranks first by hash; one that does not answer is
-// passed over for a while. Ownership only saves transactions: two instances that
-// both hold tokens of an account do no harm.
+// passed over for a while. Ownership only saves transactions: two instances
+// that both hold tokens of an account do no harm.
 class Borrower {
  public:
   // Instances asked for one request, at most.
--- a/src/dandelionmill/peer/lending_port.cc
+++ b/src/dandelionmill/peer/lending_port.cc
@@ -50,9 +50,9 @@
   if (!error)
     socket_.non_blocking(true, error);
   if (error) {
-    return base::Error{base::Code::kBadSetting, net::ToString(address) +
-                                                    " cannot be bound: " +
-                                                    error.message()};
+    return base::Error{
+        base::Code::kBadSetting,
+        net::ToString(address) + " cannot be bound: " + error.message()};
   }
   Receive();
   return base::Unit{};
@@ -65,15 +65,14 @@
 }
 
 void LendingPort::Receive() {
-  socket_.async_receive_from(
-      asio::buffer(buffer_), from_,
-      [this](error_code error, std::size_t count) {
-        if (error == asio::error::operation_aborted)
-          return;
-        if (!error)
-          OnDatagram(std::string(buffer_.data(), count));
-        Receive();
-      });
+  socket_.async_receive_from(asio::buffer(buffer_), from_,
+                             [this](error_code error, std::size_t count) {
+                               if (error == asio::error::operation_aborted)
+                                 return;
+                               if (!error)
+                                 OnDatagram(std::string(buffer_.data(), count));
+                               Receive();
+                             });
 }
 
 void LendingPort::OnDatagram(const std::string& text) {
--- a/src/dandelionmill/peer/lending_port.h
+++ b/src/dandelionmill/peer/lending_port.h
@@ -22,9 +22,9 @@
 
 // Lends prepaid tokens between instances by datagrams. The lender has given the
 // tokens away when it answers, so a lost answer loses tokens but never doubles
-// them. A question is sent twice, and answered once; a lender that cannot answer
-// yet says so, which tells it from one that is gone. An answer that comes late is
-// still credited.
+// them. A question is sent twice, and answered once; a lender that cannot
+// answer yet says so, which tells it from one that is gone. An answer that
+// comes late is still credited.
 class LendingPort {
  public:
   struct Question {
--- a/src/dandelionmill/platform/desired_state.cc
+++ b/src/dandelionmill/platform/desired_state.cc
@@ -98,8 +98,7 @@
     const json& engine = object["engine"];
     gateway::EngineTraits traits;
     traits.slots = ReadOr<int>(engine, "slots", 1);
-    traits.kv_cache_tokens =
-        ReadOr<base::Tokens>(engine, "kvCacheTokens", 0);
+    traits.kv_cache_tokens = ReadOr<base::Tokens>(engine, "kvCacheTokens", 0);
     // Despite its name the largest number of tokens in one event.
     traits.tokens_per_event = ReadOr<base::Tokens>(engine, "stride", 1);
     service.engine = traits;
@@ -110,12 +109,12 @@
 gateway::ClientAccount ReadAccount(const json& object) {
   gateway::ClientAccount account;
   account.id = base::AccountId(Read<std::string>(object, "name"));
-  account.api_keys =
-      ReadOr<std::vector<std::string>>(object, "apiKeys", {});
+  account.api_keys = ReadOr<std::vector<std::string>>(object, "apiKeys", {});
   if (object.contains("priority") && object["priority"].is_number())
     account.priority = Read<int>(object, "priority");
   if (object.contains("prepaid") && object["prepaid"].is_number())
-    account.prepaid = static_cast<base::Tokens>(Read<double>(object, "prepaid"));
+    account.prepaid =
+        static_cast<base::Tokens>(Read<double>(object, "prepaid"));
   return account;
 }
 
--- a/src/dandelionmill/platform/engine_entry.cc
+++ b/src/dandelionmill/platform/engine_entry.cc
@@ -11,9 +11,9 @@
 constexpr int kMaxSlots = 1 << 16;
 
 base::Error Malformed(const std::string& id, const std::string& field) {
-  return {base::Code::kMalformedMessage,
-          "registry entry \"" + id + "\": field \"" + field +
-              "\" is missing or wrong"};
+  return {base::Code::kMalformedMessage, "registry entry \"" + id +
+                                             "\": field \"" + field +
+                                             "\" is missing or wrong"};
 }
 
 }  // namespace
--- a/src/dandelionmill/platform/headers.cc
+++ b/src/dandelionmill/platform/headers.cc
@@ -31,28 +31,36 @@
 
 // Fields that concern one connection only (RFC 9110, section 7.6.1), and those
 // that frame the body.
-constexpr const char* kConnectionFields[] = {
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
-    "TE",         "Transfer-Encoding", "Trailer",          "Upgrade",
-    "Expect",     "Content-Length",    "Proxy-Authorization"};
+constexpr const char* kConnectionFields[] = {"Connection",
+                                             "Keep-Alive",
+                                             "Proxy-Connection",
+                                             "Proxy-Authenticate",
+                                             "TE",
+                                             "Transfer-Encoding",
+                                             "Trailer",
+                                             "Upgrade",
+                                             "Expect",
+                                             "Content-Length",
+                                             "Proxy-Authorization"};
 
 // Request fields that only the fleet may set, and the caller's key.
 constexpr const char* kFleetFields[] = {
-    kDeadline,         kTenant,           kExpectedInstance, kPriority,
-    "Authorization",   "Expected-Version", "Pin-Milliseconds", "Hold",
-    "Kv-Backup",       "Kv-From",         "Kv-Fetch"};
+    kDeadline,          kTenant,         kExpectedInstance,
+    kPriority,          "Authorization", "Expected-Version",
+    "Pin-Milliseconds", "Hold",          "Kv-Backup",
+    "Kv-From",          "Kv-Fetch"};
 
 template <std::size_t N>
 bool IsOneOf(boost::string_view name, const char* const (&names)[N]) {
-  return std::any_of(std::begin(names), std::end(names),
-                     [name](const char* other) { return iequals(name, other); });
+  return std::any_of(
+      std::begin(names), std::end(names),
+      [name](const char* other) { return iequals(name, other); });
 }
 
 // Returns the names listed in the Connection field, which are not forwarded.
 std::vector<std::string> ConnectionTokens(const fields& message) {
   std::vector<std::string> tokens;
-  const auto range =
-      message.equal_range(boost::beast::http::field::connection);
+  const auto range = message.equal_range(boost::beast::http::field::connection);
   for (auto at = range.first; at != range.second; ++at) {
     std::vector<std::string> parts;
     boost::algorithm::split(parts, at->value(),
@@ -72,7 +80,8 @@
       [name](const std::string& token) { return iequals(name, token); });
 }
 
-void Append(std::string& out, boost::string_view name,
+void Append(std::string& out,
+            boost::string_view name,
             boost::string_view value) {
   out.append(name.data(), name.size());
   out += ": ";
--- a/src/dandelionmill/platform/node_settings.cc
+++ b/src/dandelionmill/platform/node_settings.cc
@@ -165,8 +165,8 @@
   const std::string text = ReadNodeSettingsText();
   if (text.empty()) {
     return base::Error{base::Code::kBadSetting,
-                       "the platform's settings file \"" +
-                           NodeSettingsPath() + "\" cannot be read"};
+                       "the platform's settings file \"" + NodeSettingsPath() +
+                           "\" cannot be read"};
   }
   return ParseNodeSettings(text);
 }
--- a/src/dandelionmill/platform/store_client.cc
+++ b/src/dandelionmill/platform/store_client.cc
@@ -36,8 +36,11 @@
 // One call on one connection, alive until its handler has run.
 class StoreClient::Call : public std::enable_shared_from_this<Call> {
  public:
-  Call(StoreClient& client, bool is_commit, std::string target,
-       std::string body, Handler handler)
+  Call(StoreClient& client,
+       bool is_commit,
+       std::string target,
+       std::string body,
+       Handler handler)
       : owner_(client.self_),
         loop_(client.loop_),
         store_(client.store_),
@@ -94,31 +97,31 @@
 
   void Send() {
     is_sent_ = true;
-    http::async_write(connection_->socket, request_,
-                      [self = shared_from_this()](error_code error,
-                                                  std::size_t) {
-                        if (self->done_)
-                          return;
-                        if (error)
-                          self->OnBroken("write: " + error.message());
-                        else
-                          self->Receive();
-                      });
+    http::async_write(
+        connection_->socket, request_,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          if (self->done_)
+            return;
+          if (error)
+            self->OnBroken("write: " + error.message());
+          else
+            self->Receive();
+        });
   }
 
   void Receive() {
     parser_.emplace();
     parser_->body_limit(kMaxAnswerBytes);
-    http::async_read(connection_->socket, connection_->buffer, *parser_,
-                     [self = shared_from_this()](error_code error,
-                                                 std::size_t) {
-                       if (self->done_)
-                         return;
-                       if (error)
-                         self->OnBroken("read: " + error.message());
-                       else
-                         self->OnAnswer();
-                     });
+    http::async_read(
+        connection_->socket, connection_->buffer, *parser_,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          if (self->done_)
+            return;
+          if (error)
+            self->OnBroken("read: " + error.message());
+          else
+            self->OnAnswer();
+        });
   }
 
   // A kept connection may have been closed by the store while idle. A read is
@@ -133,9 +136,8 @@
 
   void OnAnswer() {
     const auto& message = parser_->get();
-    storage::TableAnswer answer =
-        DecodeStoreAnswer(static_cast<int>(message.result_int()),
-                          message.body());
+    storage::TableAnswer answer = DecodeStoreAnswer(
+        static_cast<int>(message.result_int()), message.body());
     if (message.keep_alive() && *owner_ != nullptr &&
         (*owner_)->idle_.size() < kMaxIdleConnections &&
         connection_->buffer.size() == 0)
@@ -197,8 +199,7 @@
 void StoreClient::Commit(storage::RowChange change,
                          std::chrono::milliseconds timeout,
                          Handler handler) {
-  Start(true, kCommitTarget, EncodeChange(change), timeout,
-        std::move(handler));
+  Start(true, kCommitTarget, EncodeChange(change), timeout, std::move(handler));
 }
 
 void StoreClient::Read(const std::string& table,
--- a/src/dandelionmill/prepaid/keeper.cc
+++ b/src/dandelionmill/prepaid/keeper.cc
@@ -29,8 +29,8 @@
 // How often waiting reservations are looked at beside each answer.
 constexpr std::chrono::milliseconds kWaiterCheck{100};
 
-// How long another instance that asks for tokens is kept waiting: the quiet time
-// of the stored row, and some for what the promise still lacks then.
+// How long another instance that asks for tokens is kept waiting: the quiet
+// time of the stored row, and some for what the promise still lacks then.
 constexpr std::chrono::milliseconds kLendTimeout{1150};
 
 // Rows that are stored at once for a reservation that waits.
@@ -126,9 +126,9 @@
   }
   if (prepaid_.empty() || returned_)
     return;
-  Commit(is_returning_ ? ledger_.ProposeReturn(StoreTime())
-                       : ledger_.Propose(Views(), StoreTime(),
-                                         base::BootClock::now()));
+  Commit(is_returning_
+             ? ledger_.ProposeReturn(StoreTime())
+             : ledger_.Propose(Views(), StoreTime(), base::BootClock::now()));
 }
 
 storage::RowChange Keeper::MakeChange(const Ledger::Proposal& proposal) const {
@@ -149,11 +149,11 @@
 void Keeper::Commit(Ledger::Proposal proposal) {
   is_committing_ = true;
   storage::RowChange change = MakeChange(proposal);
-  table_.Commit(std::move(change), kCommitTimeout,
-                [this, proposal = std::move(proposal)](
-                    storage::TableAnswer answer) {
-                  OnAnswer(proposal, std::move(answer));
-                });
+  table_.Commit(
+      std::move(change), kCommitTimeout,
+      [this, proposal = std::move(proposal)](storage::TableAnswer answer) {
+        OnAnswer(proposal, std::move(answer));
+      });
 }
 
 void Keeper::OnAnswer(const Ledger::Proposal& proposal,
@@ -263,10 +263,9 @@
         .With("accounts", stored.shares.size());
     return;
   }
-  const auto mine =
-      std::find_if(in_doubt_.begin(), in_doubt_.end(), [&](const auto& other) {
-        return other.row.sequence == stored.sequence;
-      });
+  const auto mine = std::find_if(
+      in_doubt_.begin(), in_doubt_.end(),
+      [&](const auto& other) { return other.row.sequence == stored.sequence; });
   if (mine != in_doubt_.end()) {
     log::Event(log::Level::kInfo, "prepaid_doubt_settled")
         .With("sequence", stored.sequence);
@@ -277,9 +276,8 @@
 
 void Keeper::LearnTotal(const storage::VersionedRow& row) {
   const auto decoded = DecodeAccountRow(row.value);
-  const std::string account =
-      row.key.part.substr(std::min(row.key.part.size(),
-                                   sizeof(kAccountPart) - 1));
+  const std::string account = row.key.part.substr(
+      std::min(row.key.part.size(), sizeof(kAccountPart) - 1));
   if (!base::IsOk(decoded)) {
     log::Event(log::Level::kError, "prepaid_row_unreadable")
         .With("account", account)
@@ -427,13 +425,11 @@
 
 std::optional<ReserveOutcome> Keeper::Decide(Waiter& waiter,
                                              base::MonoTime now) {
-  if (ledger_.TryReserve(waiter.account, waiter.tokens,
-                         base::BootClock::now()))
+  if (ledger_.TryReserve(waiter.account, waiter.tokens, base::BootClock::now()))
     return ReserveOutcome::kReserved;
   if (now >= waiter.until)
     return ReserveOutcome::kUnavailable;
-  if (waiter.is_borrowing ||
-      ledger_.Held(waiter.account) >= waiter.tokens)
+  if (waiter.is_borrowing || ledger_.Held(waiter.account) >= waiter.tokens)
     return std::nullopt;
   const bool store_has_too_little =
       IsTotalFresh(waiter.account) &&
@@ -451,12 +447,12 @@
 void Keeper::StartBorrowing(Waiter& waiter) {
   waiter.is_borrowing = true;
   const base::Tokens missing =
-      waiter.tokens - std::max<base::Tokens>(0, ledger_.BorrowedLeft(waiter.account));
-  peers_.borrow(waiter.account, missing,
-                [this, account = waiter.account, number = waiter.number,
-                 missing](base::Tokens given) {
-                  OnBorrowed(account, number, missing, given);
-                });
+      waiter.tokens -
+      std::max<base::Tokens>(0, ledger_.BorrowedLeft(waiter.account));
+  peers_.borrow(
+      waiter.account, missing,
+      [this, account = waiter.account, number = waiter.number, missing](
+          base::Tokens given) { OnBorrowed(account, number, missing, given); });
 }
 
 void Keeper::OnBorrowed(const base::AccountId& account,
--- a/src/dandelionmill/prepaid/keeper.h
+++ b/src/dandelionmill/prepaid/keeper.h
@@ -6,8 +6,8 @@
 #include <cstdint>
 #include <functional>
 #include <list>
-#include <optional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,8 +64,8 @@
   // Reserves tokens at once if it can. Accounts without a limit have them all.
   bool TryReserve(const base::AccountId& account, base::Tokens tokens);
   // Reserves tokens as soon as they are drawn or borrowed, or says within
-  // `timeout` that it could not. Returns a number for Cancel; the handler never runs from within
-  // the call.
+  // `timeout` that it could not. Returns a number for Cancel; the handler never
+  // runs from within the call.
   std::uint64_t ReserveLater(const base::AccountId& account,
                              base::Tokens tokens,
                              std::chrono::milliseconds timeout,
@@ -87,7 +87,8 @@
   // Returns what is unused with each tick from now on and draws nothing more.
   void BeginReturn() { is_returning_ = true; }
   // Returns all that is unused to the store, or gives it to another instance
-  // while the store is out of reach, then calls `done` however that ended. Nothing may be reserved afterwards.
+  // while the store is out of reach, then calls `done` however that ended.
+  // Nothing may be reserved afterwards.
   void ReturnAll(std::function<void()> done);
 
   // Queries.
--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -68,8 +68,8 @@
   share.reserved += tokens;
   if (share.first_at == base::BootTime())
     share.first_at = now;
-  share.recent *= std::exp(-Seconds(now - share.recent_at) /
-                           kDemandMemory.count());
+  share.recent *=
+      std::exp(-Seconds(now - share.recent_at) / kDemandMemory.count());
   share.recent += static_cast<double>(tokens);
   share.recent_at = now;
   return true;
@@ -112,8 +112,8 @@
   const auto waited = static_cast<double>(view.waited_for);
   double target = waited;
   if (view.is_owner) {
-    const double ahead = std::min(demand * kMaxAhead.count(),
-                                  kLargestShare * (undrawn + held));
+    const double ahead =
+        std::min(demand * kMaxAhead.count(), kLargestShare * (undrawn + held));
     target = std::max({waited, ahead, kIdleShare * undrawn});
   }
   if (held < kDrawBelow * target || held < waited)
@@ -140,8 +140,7 @@
   std::map<base::AccountId, base::Tokens> moves;
   std::map<base::AccountId, base::Tokens> listed;
   for (const AccountView& view : accounts) {
-    const base::Tokens move =
-        MoveFor(shares_[view.account], view, now);
+    const base::Tokens move = MoveFor(shares_[view.account], view, now);
     if (move != 0)
       moves[view.account] = move;
     listed[view.account] = view.listed;
@@ -154,10 +153,10 @@
     HolderShare entry;
     entry.drawn = share.drawn + share.recovered + move;
     const double demand = DemandPerSecond(share, now);
-    entry.committed =
-        std::min(entry.drawn,
-                 share.committed() + listed[account] +
-                     static_cast<base::Tokens>(demand * kUnlistedDemand.count()));
+    entry.committed = std::min(
+        entry.drawn,
+        share.committed() + listed[account] +
+            static_cast<base::Tokens>(demand * kUnlistedDemand.count()));
     entry.rate_per_s = std::floor(std::max(
         kRateOfDemand * demand,
         kRateOfHeld * static_cast<double>(entry.drawn - entry.committed)));
@@ -178,7 +177,8 @@
       share.returning += rest;
     }
     HolderShare entry;
-    entry.drawn = share.drawn + share.recovered - std::max<base::Tokens>(0, rest);
+    entry.drawn =
+        share.drawn + share.recovered - std::max<base::Tokens>(0, rest);
     entry.committed = share.committed();
     if (entry.drawn != 0)
       proposal.row.shares[account] = entry;
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -70,7 +70,8 @@
   // Takes over what an ended process of this instance left, `store_time` by the
   // store's clock. It becomes usable with the next stored proposal. Returns how
   // many tokens these are.
-  base::Tokens Recover(const HolderRow& left, std::chrono::milliseconds store_time);
+  base::Tokens Recover(const HolderRow& left,
+                       std::chrono::milliseconds store_time);
   // Returns what should be stored next. Tokens that it returns are not usable
   // from now on.
   Proposal Propose(const std::vector<AccountView>& accounts,
--- a/src/dandelionmill/prepaid/rows.cc
+++ b/src/dandelionmill/prepaid/rows.cc
@@ -56,9 +56,9 @@
     row.quiet =
         std::chrono::milliseconds(object.at("quiet_ms").get<std::int64_t>());
     for (const auto& [name, value] : object.at("shares").items()) {
-      row.shares[base::AccountId(name)] = {
-          value.at(0).get<base::Tokens>(), value.at(1).get<base::Tokens>(),
-          value.at(2).get<double>()};
+      row.shares[base::AccountId(name)] = {value.at(0).get<base::Tokens>(),
+                                           value.at(1).get<base::Tokens>(),
+                                           value.at(2).get<double>()};
     }
     return row;
   } catch (const json::exception& error) {
--- a/src/dandelionmill/timer/loop_timer_service.h
+++ b/src/dandelionmill/timer/loop_timer_service.h
@@ -23,8 +23,8 @@
   // Calls `callback` every `period` (at least 1 ms), first after one period,
   // until the service goes away or Stop is called.
   void Subscribe(std::chrono::milliseconds period, Callback callback) {
-    entries_.push_back({boost::asio::steady_timer(loop_), period,
-                        std::move(callback)});
+    entries_.push_back(
+        {boost::asio::steady_timer(loop_), period, std::move(callback)});
     Arm(entries_.back());
   }
 
--- a/standins/backend/scripted_engine.cc
+++ b/standins/backend/scripted_engine.cc
@@ -115,9 +115,9 @@
 ScriptedEngine::Answer ScriptedEngine::Whole(const Request& request,
                                              int status,
                                              const std::string& body) {
-  return {{{"HTTP/1.1 " + std::to_string(status) + " X\r\n" + Fields(request) +
-            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-            body}}};
+  return {
+      {{"HTTP/1.1 " + std::to_string(status) + " X\r\n" + Fields(request) +
+        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body}}};
 }
 
 std::string ScriptedEngine::StreamHead(const Request& request) {
@@ -127,8 +127,8 @@
 }
 
 std::string ScriptedEngine::EventChunk(int id) {
-  const std::string event = "id: " + std::to_string(id) + "\ndata: e" +
-                            std::to_string(id) + "\n\n";
+  const std::string event =
+      "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
   char size[16];
   std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
   return size + event + "\r\n";
--- a/standins/backend/scripted_engine.h
+++ b/standins/backend/scripted_engine.h
@@ -20,8 +20,7 @@
 // byte, so that it can break off, answer twice, lie or stay silent.
 class ScriptedEngine {
  public:
-  using Request =
-      boost::beast::http::request<boost::beast::http::string_body>;
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
   // One step of an answer.
   struct Step {
@@ -47,7 +46,8 @@
   int abandoned() const { return abandoned_; }
 
   // Returns an answer with a length, the request's id and a proof of the run.
-  static Answer Whole(const Request& request, int status,
+  static Answer Whole(const Request& request,
+                      int status,
                       const std::string& body);
   // Returns the head of an event stream in chunks.
   static std::string StreamHead(const Request& request);
--- a/standins/platform/rows_server.cc
+++ b/standins/platform/rows_server.cc
@@ -22,8 +22,8 @@
 RowsServer::RowsServer(int port)
     : server_({{"127.0.0.1", port}, kMaxConnections}) {
   auto& routes = server_.routes();
-  const auto guard = [this](void (RowsServer::*handler)(
-                         const httplib::Request&, httplib::Response&)) {
+  const auto guard = [this](void (RowsServer::*handler)(const httplib::Request&,
+                                                        httplib::Response&)) {
     return [this, handler](const httplib::Request& request,
                            httplib::Response& response) {
       {
@@ -52,7 +52,8 @@
   server_.Stop();
 }
 
-void RowsServer::Put(const std::string& table, const std::string& key,
+void RowsServer::Put(const std::string& table,
+                     const std::string& key,
                      const json& value) {
   const std::lock_guard<std::mutex> lock(mutex_);
   ++version_;
@@ -78,7 +79,8 @@
   loses_answers_ = lose;
 }
 
-json RowsServer::Value(const std::string& table, const std::string& part,
+json RowsServer::Value(const std::string& table,
+                       const std::string& part,
                        const std::string& key) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = rows_.find({table, part, key});
--- a/standins/platform/rows_server.h
+++ b/standins/platform/rows_server.h
@@ -26,7 +26,8 @@
   ~RowsServer();
 
   // Commands, as the operator or a backend server would give them.
-  void Put(const std::string& table, const std::string& key,
+  void Put(const std::string& table,
+           const std::string& key,
            const nlohmann::json& value);
   void Delete(const std::string& table, const std::string& key);
   // Every call gets 503 until this is lifted.
@@ -35,7 +36,8 @@
   void SetLoseAnswers(bool lose);
 
   // Query. Returns the value of a row, or null.
-  nlohmann::json Value(const std::string& table, const std::string& part,
+  nlohmann::json Value(const std::string& table,
+                       const std::string& part,
                        const std::string& key);
 
  private:
--- a/tests/sessions/gateway/bad_input_test.cc
+++ b/tests/sessions/gateway/bad_input_test.cc
@@ -16,8 +16,7 @@
 
 }  // namespace
 
-TEST_CASE("A request that could hide another reaches no engine",
-          "[gateway]") {
+TEST_CASE("A request that could hide another reaches no engine", "[gateway]") {
   GatewayFixture fleet;
   ScriptedEngine& engine = fleet.AddEngine("i-1", WholeAnswer);
   const std::string inner =
@@ -50,9 +49,9 @@
   GatewayFixture fleet;
   ScriptedEngine& engine = fleet.AddEngine("i-1", WholeAnswer);
   SECTION("header fields") {
-    CHECK_THAT(fleet.Exchange(kHead + "X: " + std::string(20000, 'x') +
-                              "\r\n\r\n"),
-               Catch::StartsWith("HTTP/1.1 431"));
+    CHECK_THAT(
+        fleet.Exchange(kHead + "X: " + std::string(20000, 'x') + "\r\n\r\n"),
+        Catch::StartsWith("HTTP/1.1 431"));
   }
   SECTION("a body") {
     CHECK_THAT(fleet.Exchange(kHead + "Content-Length: 100001\r\n\r\n"),
@@ -83,9 +82,10 @@
 TEST_CASE("A body in chunks is passed on whole", "[gateway]") {
   GatewayFixture fleet;
   ScriptedEngine& engine = fleet.AddEngine("i-1", WholeAnswer);
-  const std::string answer = fleet.Exchange(
-      kHead + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
-              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  const std::string answer =
+      fleet.Exchange(kHead +
+                     "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                     "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
   CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
   REQUIRE(engine.requests().size() == 1);
   CHECK(engine.requests()[0].body() == "abcde");
--- a/tests/sessions/gateway/gateway_fixture.h
+++ b/tests/sessions/gateway/gateway_fixture.h
@@ -35,33 +35,32 @@
 inline json DesiredState(int version, std::int64_t prepaid = 100000) {
   const auto route = [](const char* prefix, const char* kind, int attempts,
                         bool resumable) {
-    return json{{"name", prefix},       {"host", "a.example"},
-                {"prefix", prefix},     {"kind", kind},
-                {"service", "model"},   {"attempts", attempts},
-                {"timeoutMs", 1500},    {"targetLatencyMs", 300},
-                {"targetGapMs", 200},   {"priority", 1},
-                {"resumable", resumable}};
+    return json{
+        {"name", prefix},    {"host", "a.example"},    {"prefix", prefix},
+        {"kind", kind},      {"service", "model"},     {"attempts", attempts},
+        {"timeoutMs", 1500}, {"targetLatencyMs", 300}, {"targetGapMs", 200},
+        {"priority", 1},     {"resumable", resumable}};
   };
-  return {{"version", version},
-          {"routes",
-           {route("/safe/", "safe", 2, false),
-            route("/once/", "unsafe", 1, false),
-            route("/stream/", "streaming", 2, true),
-            route("/single/", "streaming", 1, false)}},
-          {"services",
-           {{{"name", "model"},
-             {"connectionLimit", 64},
-             {"engine",
-              {{"slots", 8}, {"kvCacheTokens", 100000}, {"stride", 5}}}}}},
-          {"limits",
-           {{"maxHeaderBytes", 16384},
-            {"maxBodyBytes", 100000},
-            {"headerTimeoutMs", 400},
-            {"idleTimeoutMs", 5000}}},
-          {"tenants",
-           {{{"name", "painters"},
-             {"apiKeys", {"secret"}},
-             {"prepaid", prepaid}}}}};
+  return {
+      {"version", version},
+      {"routes",
+       {route("/safe/", "safe", 2, false), route("/once/", "unsafe", 1, false),
+        route("/stream/", "streaming", 2, true),
+        route("/single/", "streaming", 1, false)}},
+      {"services",
+       {{{"name", "model"},
+         {"connectionLimit", 64},
+         {"engine",
+          {{"slots", 8}, {"kvCacheTokens", 100000}, {"stride", 5}}}}}},
+      {"limits",
+       {{"maxHeaderBytes", 16384},
+        {"maxBodyBytes", 100000},
+        {"headerTimeoutMs", 400},
+        {"idleTimeoutMs", 5000}}},
+      {"tenants",
+       {{{"name", "painters"},
+         {"apiKeys", {"secret"}},
+         {"prepaid", prepaid}}}}};
 }
 
 // What a caller got.
--- a/tests/sessions/gateway/requests_test.cc
+++ b/tests/sessions/gateway/requests_test.cc
@@ -9,9 +9,9 @@
 }
 
 Answer NotExecuted(const Request& request) {
-  return {{{"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nAttempt-Id: " +
-            std::string(request["Attempt-Id"]) +
-            "\r\nContent-Length: 0\r\n\r\n"}}};
+  return {
+      {{"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nAttempt-Id: " +
+        std::string(request["Attempt-Id"]) + "\r\nContent-Length: 0\r\n\r\n"}}};
 }
 
 Answer Reset(const Request&) {
@@ -36,13 +36,14 @@
 std::string EventsTo(int last) {
   std::string events;
   for (int id = 1; id <= last; ++id)
-    events += "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
-              "\n\n";
+    events +=
+        "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
   return events;
 }
 
-const std::map<std::string, std::string> kTokens = {
-    {"Model", "m"}, {"Token-Count", "900,100"}, {"Prompt-Prefix", "a:900"}};
+const std::map<std::string, std::string> kTokens = {{"Model", "m"},
+                                                    {"Token-Count", "900,100"},
+                                                    {"Prompt-Prefix", "a:900"}};
 
 }  // namespace
 
@@ -162,8 +163,7 @@
   CHECK(engine.requests().size() == 1);
 }
 
-TEST_CASE("An answer to an earlier request is never passed on",
-          "[gateway]") {
+TEST_CASE("An answer to an earlier request is never passed on", "[gateway]") {
   GatewayFixture fleet;
   fleet.AddEngine("i-1", [](const Request& request) {
     Answer answer = WholeAnswer(request);
@@ -181,8 +181,7 @@
   }
 }
 
-TEST_CASE("A success without proof of the run is not passed on",
-          "[gateway]") {
+TEST_CASE("A success without proof of the run is not passed on", "[gateway]") {
   GatewayFixture fleet;
   fleet.AddEngine("i-1", [](const Request&) -> Answer {
     return {{{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrot!"}}};
@@ -264,9 +263,8 @@
   CHECK(fleet.Send("/single/", kTokens).status == 402);
   SECTION("and a top-up serves again") {
     fleet.store.Put("op", "config", DesiredState(2, 20000));
-    fleet.WaitUntil([&fleet] {
-      return fleet.Send("/single/", kTokens).status == 200;
-    });
+    fleet.WaitUntil(
+        [&fleet] { return fleet.Send("/single/", kTokens).status == 200; });
   }
 }
 
@@ -290,8 +288,7 @@
   });
   REQUIRE(fleet.Send("/single/", kTokens).status == 200);
   Received received;
-  std::thread caller(
-      [&] { received = fleet.Send("/single/", kTokens); });
+  std::thread caller([&] { received = fleet.Send("/single/", kTokens); });
   std::this_thread::sleep_for(milliseconds(200));
   fleet.Leave();
   fleet.WaitUntil([&fleet] { return !fleet.IsReady(); });
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -80,8 +80,10 @@
     Reply(std::move(answer), std::move(handler));
   }
 
-  void Put(const std::string& table, const std::string& part,
-           const std::string& key, const std::string& value) {
+  void Put(const std::string& table,
+           const std::string& part,
+           const std::string& key,
+           const std::string& value) {
     dandelionmill::storage::VersionedRow& row = rows_[{table, part, key}];
     row.key = {table, part, key};
     row.value = value;
@@ -99,7 +101,8 @@
     Wake(table);
   }
 
-  std::string Value(const std::string& table, const std::string& part,
+  std::string Value(const std::string& table,
+                    const std::string& part,
                     const std::string& key) const {
     const auto found = rows_.find({table, part, key});
     return found == rows_.end() ? "" : found->second.value;
@@ -168,12 +171,12 @@
   }
 
   void Reply(Answer answer, Handler handler) {
-    boost::asio::post(loop_, [this, generation = generation_,
-                              answer = std::move(answer),
-                              handler = std::move(handler)] {
-      if (generation == generation_)
-        handler(answer);
-    });
+    boost::asio::post(
+        loop_, [this, generation = generation_, answer = std::move(answer),
+                handler = std::move(handler)] {
+          if (generation == generation_)
+            handler(answer);
+        });
   }
 
   void Wake(const std::string& table) {
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -16,8 +16,8 @@
 #include "dandelionmill/control/control_settings.h"
 #include "dandelionmill/ctl/command.h"
 #include "dandelionmill/log/event.h"
-#include "dandelionmill/storage/http_platform.h"
 #include "dandelionmill/router/router_settings.h"
+#include "dandelionmill/storage/http_platform.h"
 
 namespace tests {
 namespace {
--- a/tests/unit/control/platform_io_test.cc
+++ b/tests/unit/control/platform_io_test.cc
@@ -20,8 +20,8 @@
     return storage::Row{key, 1, "value"};
   }
   base::Result<std::vector<storage::Row>> Scan(const std::string&,
-                                                const std::string&,
-                                                int) override {
+                                               const std::string&,
+                                               int) override {
     return std::vector<storage::Row>{};
   }
   base::Status Commit(const storage::Transaction&) override {
--- a/tests/unit/gateway/caller_session_test.cc
+++ b/tests/unit/gateway/caller_session_test.cc
@@ -13,8 +13,7 @@
   CHECK_FALSE(FindAmbiguity(message));
 }
 
-TEST_CASE("A request that could be read in two ways is refused",
-          "[gateway]") {
+TEST_CASE("A request that could be read in two ways is refused", "[gateway]") {
   fields message;
   message.insert("Host", "a.example");
   SECTION("two lengths") {
@@ -32,7 +31,11 @@
   SECTION("an unknown coding") {
     message.insert("Transfer-Encoding", "gzip, chunked");
   }
-  SECTION("two hosts") { message.insert("Host", "b.example"); }
-  SECTION("no host") { message.erase("Host"); }
+  SECTION("two hosts") {
+    message.insert("Host", "b.example");
+  }
+  SECTION("no host") {
+    message.erase("Host");
+  }
   CHECK(FindAmbiguity(message));
 }
--- a/tests/unit/gateway/crash_guard_test.cc
+++ b/tests/unit/gateway/crash_guard_test.cc
@@ -13,8 +13,10 @@
   return MonoTime(std::chrono::hours(1)) + milliseconds(ms);
 }
 
-void Crash(CrashGuard& guard, const std::string& digest,
-           const std::string& backend, int ms) {
+void Crash(CrashGuard& guard,
+           const std::string& digest,
+           const std::string& backend,
+           int ms) {
   guard.OnBroken(digest, BackendId(backend), At(ms));
   guard.OnRefused(BackendId(backend), At(ms + 5));
 }
--- a/tests/unit/gateway/event_framer_test.cc
+++ b/tests/unit/gateway/event_framer_test.cc
@@ -31,6 +31,6 @@
 TEST_CASE("An event without end is refused", "[gateway]") {
   EventFramer framer;
   std::vector<FramedEvent> events;
-  CHECK_FALSE(framer.Feed(std::string(EventFramer::kMaxEventBytes + 1, 'x'),
-                          events));
+  CHECK_FALSE(
+      framer.Feed(std::string(EventFramer::kMaxEventBytes + 1, 'x'), events));
 }
--- a/tests/unit/gateway/fleet_config_test.cc
+++ b/tests/unit/gateway/fleet_config_test.cc
@@ -8,7 +8,8 @@
 
 namespace {
 
-Route RouteTo(const std::string& host, const std::string& prefix,
+Route RouteTo(const std::string& host,
+              const std::string& prefix,
               const std::string& service) {
   Route route;
   route.name = host + prefix;
@@ -40,8 +41,7 @@
 TEST_CASE("The longest prefix of the host's routes is chosen", "[gateway]") {
   const FleetConfig config = Example();
   CHECK(NameOf(config.FindRoute("a.example", "/x/y/z")) == "a.example/x/y/");
-  CHECK(NameOf(config.FindRoute("a.example", "/x/?q=/x/y/")) ==
-        "a.example/x/");
+  CHECK(NameOf(config.FindRoute("a.example", "/x/?q=/x/y/")) == "a.example/x/");
   CHECK(NameOf(config.FindRoute("a.example", "/x")) == "a.example/");
   CHECK(NameOf(config.FindRoute("b.example", "/y/")).empty());
   CHECK(NameOf(config.FindRoute("c.example", "/x/")).empty());
--- a/tests/unit/gateway/table_follower_test.cc
+++ b/tests/unit/gateway/table_follower_test.cc
@@ -36,7 +36,8 @@
              seen[row.key.key] = row.value;
          }
        },
-       [this](bool is_reachable, dandelionmill::base::MonoTime,
+       [this](bool is_reachable,
+              dandelionmill::base::MonoTime,
               const std::string&) { reachable = is_reachable; }}};
 
   void Run(int ms = 60) {
--- a/tests/unit/peer/lending_port_test.cc
+++ b/tests/unit/peer/lending_port_test.cc
@@ -27,10 +27,11 @@
   int questions = 0;
   std::function<void(Tokens)> pending;
   bool answers_at_once = true;
-  LendingPort first{loop,
-                    [](const LendingPort::Question&,
-                       const std::function<void(Tokens)>& done) { done(0); },
-                    [this](const AccountId&, Tokens tokens) { late += tokens; }};
+  LendingPort first{
+      loop,
+      [](const LendingPort::Question&,
+         const std::function<void(Tokens)>& done) { done(0); },
+      [this](const AccountId&, Tokens tokens) { late += tokens; }};
   LendingPort second{loop,
                      [this](const LendingPort::Question& question,
                             const std::function<void(Tokens)>& done) {
@@ -79,8 +80,7 @@
   CHECK(given == 500);
 }
 
-TEST_CASE("An answer that comes too late is credited all the same",
-          "[peer]") {
+TEST_CASE("An answer that comes too late is credited all the same", "[peer]") {
   Fixture fixture;
   fixture.answers_at_once = false;
   std::optional<LendingPort::Answer> answer;
--- a/tests/unit/platform/desired_state_test.cc
+++ b/tests/unit/platform/desired_state_test.cc
@@ -26,8 +26,7 @@
 
 }  // namespace
 
-TEST_CASE("A desired state is decoded into the project's terms",
-          "[platform]") {
+TEST_CASE("A desired state is decoded into the project's terms", "[platform]") {
   const auto decoded = DecodeDesiredState(kExample);
   REQUIRE(base::IsOk(decoded));
   const gateway::FleetConfig& config = *base::ValueOf(decoded);
@@ -54,8 +53,7 @@
   CHECK(config.limits().max_header_bytes == 16384);
 }
 
-TEST_CASE("A stream that may not be resumed must not run twice",
-          "[platform]") {
+TEST_CASE("A stream that may not be resumed must not run twice", "[platform]") {
   const auto decoded = DecodeDesiredState(
       R"({"version":1,"routes":[{"host":"h","prefix":"/","kind":"streaming",
           "service":"m"},{"host":"h","prefix":"/a/","kind":"new kind",
@@ -65,8 +63,9 @@
     CHECK_FALSE(gateway::MayRunAgain(route.kind));
 }
 
-TEST_CASE("A desired state that cannot be read is an error that names the field",
-          "[platform]") {
+TEST_CASE(
+    "A desired state that cannot be read is an error that names the field",
+    "[platform]") {
   const auto detail_of = [](const std::string& text) {
     const auto decoded = DecodeDesiredState(text);
     REQUIRE_FALSE(base::IsOk(decoded));
--- a/tests/unit/platform/engine_entry_test.cc
+++ b/tests/unit/platform/engine_entry_test.cc
@@ -10,9 +10,9 @@
 namespace {
 
 json Example() {
-  return {{"service", "m"},      {"address", "10.128.0.9:8080"},
-          {"zone", "north-a"},   {"version", "v1"},
-          {"slots", 128},        {"state", "ready"},
+  return {{"service", "m"},       {"address", "10.128.0.9:8080"},
+          {"zone", "north-a"},    {"version", "v1"},
+          {"slots", 128},         {"state", "ready"},
           {"coldRemainingMs", 0}, {"sequence", 4},
           {"born", 1764823000123}};
 }
@@ -39,7 +39,9 @@
 TEST_CASE("A forged registry entry names no backend server", "[platform]") {
   for (const char* field : {"service", "address", "zone", "slots", "state"}) {
     json entry = Example();
-    SECTION(std::string("without ") + field) { entry.erase(field); }
+    SECTION(std::string("without ") + field) {
+      entry.erase(field);
+    }
     SECTION(std::string("with a wrong type in ") + field) {
       entry[field] = json::array();
     }
--- a/tests/unit/platform/headers_test.cc
+++ b/tests/unit/platform/headers_test.cc
@@ -52,12 +52,18 @@
 
 TEST_CASE("Terms that cannot be read are an error", "[platform]") {
   fields message = Caller();
-  SECTION("a deadline") { message.set("Deadline-Milliseconds", "soon"); }
+  SECTION("a deadline") {
+    message.set("Deadline-Milliseconds", "soon");
+  }
   SECTION("a negative deadline") {
     message.set("Deadline-Milliseconds", "-1");
   }
-  SECTION("a token count") { message.set("Token-Count", "1460"); }
-  SECTION("a negative token count") { message.set("Token-Count", "1,-5"); }
+  SECTION("a token count") {
+    message.set("Token-Count", "1460");
+  }
+  SECTION("a negative token count") {
+    message.set("Token-Count", "1,-5");
+  }
   CHECK_FALSE(base::IsOk(platform::DecodeRequestTerms(message)));
 }
 
--- a/tests/unit/platform/store_messages_test.cc
+++ b/tests/unit/platform/store_messages_test.cc
@@ -24,18 +24,21 @@
 }
 
 TEST_CASE("Rows come back as they were written", "[platform]") {
-  for (const std::string value : {std::string(), std::string("a"),
-                                  std::string("ab"), std::string("abc"),
-                                  std::string("\0\xff", 2)}) {
+  for (const std::string value :
+       {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
+        std::string("\0\xff", 2)}) {
     RowChange change;
     change.puts.push_back({{"t", "", "k"}, value});
     const json put = json::parse(platform::EncodeChange(change))["put"][0];
-    const json answer = {
-        {"rows", {{{"table", "t"}, {"part", ""}, {"key", "k"},
-                   {"value", put["value"]}, {"rowVersion", 412}}}},
-        {"morePages", true},
-        {"rowVersion", 530},
-        {"nowMs", 51230}};
+    const json answer = {{"rows",
+                          {{{"table", "t"},
+                            {"part", ""},
+                            {"key", "k"},
+                            {"value", put["value"]},
+                            {"rowVersion", 412}}}},
+                         {"morePages", true},
+                         {"rowVersion", 530},
+                         {"nowMs", 51230}};
     const auto decoded = platform::DecodeStoreAnswer(200, answer.dump());
     REQUIRE(decoded.rows.size() == 1);
     CHECK(decoded.rows[0].value == value);
--- a/tests/unit/prepaid/keeper_test.cc
+++ b/tests/unit/prepaid/keeper_test.cc
@@ -29,15 +29,15 @@
 
   std::unique_ptr<Keeper> Start(const std::string& process,
                                 Tokens prepaid = 100000) {
-    auto keeper =
-        std::make_unique<Keeper>(loop, table, "front-1", process);
+    auto keeper = std::make_unique<Keeper>(loop, table, "front-1", process);
     keeper->SetAccounts({{kAccount, prepaid}});
     RunFor(loop, milliseconds(20));
     return keeper;
   }
 
   Tokens StoredTotal() {
-    const std::string text = table.Value("prepaid", "account:painters", "total");
+    const std::string text =
+        table.Value("prepaid", "account:painters", "total");
     const auto row = dandelionmill::prepaid::DecodeAccountRow(text);
     return dandelionmill::base::IsOk(row)
                ? dandelionmill::base::ValueOf(row).drawn
@@ -133,9 +133,9 @@
     CHECK(fixture.StoredTotal() == 15000);
   }
   SECTION("also when another instance changes the account meanwhile") {
-    fixture.table.Put("prepaid", "account:painters", "total",
-                      R"({"drawn":)" +
-                          std::to_string(fixture.StoredTotal() + 7) + "}");
+    fixture.table.Put(
+        "prepaid", "account:painters", "total",
+        R"({"drawn":)" + std::to_string(fixture.StoredTotal() + 7) + "}");
     keeper->ReturnAll([&done] { done = true; });
     RunFor(fixture.loop, milliseconds(20));
     CHECK(done);
@@ -143,8 +143,8 @@
   }
   SECTION("to another instance while the store is away") {
     Tokens given = 0;
-    keeper->SetPeers({nullptr, nullptr,
-                      [&](const AccountId&, Tokens n) { given += n; }});
+    keeper->SetPeers(
+        {nullptr, nullptr, [&](const AccountId&, Tokens n) { given += n; }});
     fixture.table.FailAll(CallOutcome::kNotPerformed);
     keeper->Tick();
     RunFor(fixture.loop, milliseconds(1200));
--- a/tests/unit/prepaid/ledger_test.cc
+++ b/tests/unit/prepaid/ledger_test.cc
@@ -69,9 +69,8 @@
 TEST_CASE("A successor recovers what the row did not let its predecessor use",
           "[prepaid]") {
   Ledger ledger("p1");
-  ledger.OnStored(ledger.Propose({View(100000, 0, 0)}, milliseconds(50000),
-                                 At(0)),
-                  At(0));
+  ledger.OnStored(
+      ledger.Propose({View(100000, 0, 0)}, milliseconds(50000), At(0)), At(0));
   // The store is away: whatever may be used is used, for three seconds.
   Tokens used = 0;
   for (int ms = 0; ms <= 3000; ms += 10) {
@@ -129,8 +128,7 @@
   ledger.Borrow(kAccount, 500);
   CHECK(ledger.Available(kAccount, At(0)) == 500);
   REQUIRE(ledger.TryReserve(kAccount, 400, At(0)));
-  const auto proposal =
-      ledger.Propose({View(0, 0)}, milliseconds(1000), At(1));
+  const auto proposal = ledger.Propose({View(0, 0)}, milliseconds(1000), At(1));
   CHECK(proposal.row.shares.count(kAccount) == 0);
   CHECK(ledger.BorrowedLeft(kAccount) == 100);
 }
@@ -159,8 +157,8 @@
       if (ledger.TryReserve(kAccount, request, At(ms)))
         ledger.Settle(kAccount, request, request);
     }
-    const auto proposal = ledger.Propose({View(4000000, 400000)},
-                                         milliseconds(54000), At(4000));
+    const auto proposal =
+        ledger.Propose({View(4000000, 400000)}, milliseconds(54000), At(4000));
     return proposal.row.shares.at(kAccount).drawn;
   };
   CHECK(moved_after(8000) > moved_after(1000));
