--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -26,12 +26,14 @@
 }  // namespace
 
 BackendCall::BackendCall(ConnectionPool& pool,
+                         OverloadDetector& overload,
                          const BackendEntry& backend,
                          BackendConnectionPtr connection,
                          Listener& listener,
                          base::AttemptId attempt,
                          bool is_head_request)
     : pool_(pool),
+      overload_(overload),
       backend_(backend),
       connection_(std::move(connection)),
       listener_(&listener),
@@ -52,6 +54,7 @@
 
 void BackendCall::Run(std::string head, const std::string& body) {
   head_ = std::move(head);
+  overload_.OnSent(head_.size() + body.size());
   const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_),
                                                    asio::buffer(body)};
   asio::async_write(connection_->socket, parts,
@@ -109,6 +112,7 @@
     return;
   }
   connection_->buffer.commit(count);
+  overload_.OnReceived(count);
   if (Parse() && !is_paused_)
     Receive();
 }
--- a/src/dandelionmill/gateway/backend_call.h
+++ b/src/dandelionmill/gateway/backend_call.h
@@ -10,6 +10,7 @@
 
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/gateway/connection_pool.h"
+#include "dandelionmill/gateway/overload_detector.h"
 #include "dandelionmill/gateway/request_terms.h"
 
 namespace dandelionmill::gateway {
@@ -33,8 +34,10 @@
   };
 
   // `head` holds the request line and the fields with the empty line after
-  // them. `pool` and `listener` must outlive the call.
+  // them. `pool`, `overload` and `listener` must outlive the
+  // call.
   BackendCall(ConnectionPool& pool,
+              OverloadDetector& overload,
               const BackendEntry& backend,
               BackendConnectionPtr connection,
               Listener& listener,
@@ -68,6 +71,7 @@
   void NewParser();
 
   ConnectionPool& pool_;
+  OverloadDetector& overload_;
   const BackendEntry backend_;
   BackendConnectionPtr connection_;
   Listener* listener_;
--- a/src/dandelionmill/gateway/caller_session.cc
+++ b/src/dandelionmill/gateway/caller_session.cc
@@ -109,6 +109,7 @@
     return;
   }
   buffer_.commit(count);
+  core_.overload.OnReceived(count);
   if (!exchange_ && !close_when_written_)
     Parse();
   else if (buffer_.size() < kMaxPipelinedBytes)
@@ -208,6 +209,7 @@
 void CallerSession::Write() {
   is_writing_ = true;
   writing_ = std::exchange(queued_, std::string());
+  core_.overload.OnSent(writing_.size());
   asio::async_write(socket_, asio::buffer(writing_),
                     [self = shared_from_this()](error_code error, std::size_t) {
                       self->OnWritten(error);
--- a/src/dandelionmill/gateway/core.h
+++ b/src/dandelionmill/gateway/core.h
@@ -10,6 +10,7 @@
 #include "dandelionmill/gateway/crash_guard.h"
 #include "dandelionmill/gateway/fleet_config.h"
 #include "dandelionmill/gateway/gateway_metrics.h"
+#include "dandelionmill/gateway/overload_detector.h"
 #include "dandelionmill/gateway/placement.h"
 #include "dandelionmill/gateway/retry_allowance.h"
 #include "dandelionmill/prepaid/keeper.h"
@@ -22,11 +23,13 @@
   Core(boost::asio::io_context& event_loop,
        prepaid::Keeper& prepaid_keeper,
        base::ZoneId own_zone,
-       RetryAllowance::Limits retries)
+       RetryAllowance::Limits retries,
+       double link_bits_per_s)
       : loop(event_loop),
         keeper(prepaid_keeper),
         zone(std::move(own_zone)),
         retry_limits(retries),
+        overload(link_bits_per_s),
         pool(event_loop),
         random(std::random_device{}()),
         placement(random()) {}
@@ -36,10 +39,16 @@
     return allowances.try_emplace(service, retry_limits).first->second;
   }
 
+  // Whether callers should open their next connection, to another instance.
+  bool ShedsConnections() const {
+    return is_leaving || overload.is_overloaded();
+  }
+
   boost::asio::io_context& loop;
   prepaid::Keeper& keeper;
   const base::ZoneId zone;
   const RetryAllowance::Limits retry_limits;
+  OverloadDetector overload;
   // nullptr until one is known.
   FleetConfigPtr config;
   BackendDirectory directory;
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -302,7 +302,7 @@
   ++sends_;
   sent_at_ = steady_clock::now();
   call_ = std::make_shared<BackendCall>(
-      core_.pool, *backend_, std::move(connection),
+      core_.pool, core_.overload, *backend_, std::move(connection),
       static_cast<BackendCall::Listener&>(*this), terms_.attempt,
       request_.method() == http::verb::head);
   call_->Run(RequestHead(), request_.body());
@@ -415,7 +415,7 @@
         "\r\n";
   else if (!has_no_body)
     head += "Content-Length: " + std::to_string(length) + "\r\n";
-  if (!caller_keeps_connection_ || core_.is_leaving)
+  if (!caller_keeps_connection_ || core_.ShedsConnections())
     head += "Connection: close\r\n";
   caller_->Send(head + "\r\n");
 }
@@ -638,7 +638,7 @@
     return;
   }
   caller_->Send(ToAnswer(refusal, terms_.attempt,
-                         !caller_keeps_connection_ || core_.is_leaving));
+                         !caller_keeps_connection_ || core_.ShedsConnections()));
   Finish(outcome, refusal.status, code, refusal.detail);
 }
 
@@ -701,7 +701,7 @@
                                duration_cast<milliseconds>(now - begun_));
   if (caller_ != nullptr) {
     std::exchange(caller_, nullptr)
-        ->Finish(caller_keeps_connection_ && !core_.is_leaving);
+        ->Finish(caller_keeps_connection_ && !core_.ShedsConnections());
   }
 }
 
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -53,7 +53,8 @@
       process_(settings.instance.value() + "/" + base::RandomToken(8)),
       store_(loop, settings.store),
       keeper_(loop, store_, settings.instance.value(), process_),
-      core_(loop, keeper_, settings.zone, RetryLimits(settings)),
+      core_(loop, keeper_, settings.zone, RetryLimits(settings),
+            settings.link_bits_per_s),
       lending_(
           loop,
           [this](const peer::LendingPort::Question& question,
@@ -311,6 +312,14 @@
 }
 
 void Gateway::Tick(base::MonoTime now) {
+  const bool was_overloaded = core_.overload.is_overloaded();
+  core_.overload.Tick(now, kTick);
+  if (core_.overload.is_overloaded() != was_overloaded) {
+    log::Event(log::Level::kWarning,
+               was_overloaded ? "overload_ended" : "overloaded")
+        .With("link_use", core_.overload.link_use())
+        .With("open_requests", core_.open_exchanges);
+  }
   for (const base::BackendId& id : core_.directory.Expire(now)) {
     log::Event(log::Level::kInfo, "backend_lapsed").With("backend", id);
     core_.pool.Drop(id);
@@ -330,7 +339,7 @@
 }
 
 bool Gateway::IsReady() const {
-  return !core_.is_leaving && core_.config != nullptr &&
+  return !core_.ShedsConnections() && core_.config != nullptr &&
          backend_follower_.has_snapshot();
 }
 
@@ -403,6 +412,7 @@
       {"zone", settings_.zone.value()},
       {"ready", IsReady()},
       {"leaving", core_.is_leaving},
+      {"overloaded", core_.overload.is_overloaded()},
       {"config_version", core_.config ? core_.config->version() : 0},
       {"instances", core_.instances},
       {"open_requests", core_.open_exchanges},
--- a/src/dandelionmill/platform/node_settings.cc
+++ b/src/dandelionmill/platform/node_settings.cc
@@ -143,6 +143,7 @@
       "limits.fileDescriptors", settings.max_file_descriptors, 1e7));
   settings.memory_mb = static_cast<int>(
       reader.Number("limits.memoryMb", settings.memory_mb, 1e7));
+  settings.link_bits_per_s = 1e6 * reader.Number("limits.linkMbps", 0, 1e7);
   constexpr char kZonePrefix[] = "zones.";
   for (auto at = lines.lower_bound(kZonePrefix);
        at != lines.end() && at->first.rfind(kZonePrefix, 0) == 0; ++at) {
--- a/src/dandelionmill/platform/node_settings.h
+++ b/src/dandelionmill/platform/node_settings.h
@@ -40,6 +40,8 @@
   std::chrono::milliseconds retry_window{10000};
   int max_file_descriptors = 1024;
   int memory_mb = 256;
+  // Rate of the instance's network link in each direction; 0 when unknown.
+  double link_bits_per_s = 0;
 };
 
 // Parses the platform's settings file: lines of the form a.b=value. Fails with
