--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -53,14 +53,19 @@
       process_(settings.instance.value() + "/" + base::RandomToken(8)),
       store_(loop, settings.store),
       keeper_(loop, store_, settings.instance.value(), process_),
-      core_(loop, keeper_, settings.zone, RetryLimits(settings),
+      core_(loop,
+            keeper_,
+            settings.zone,
+            RetryLimits(settings),
             settings.link_bits_per_s),
       lending_(
           loop,
           [this](const peer::LendingPort::Question& question,
-                 std::function<void(base::Tokens)> handler) {
+                 peer::LendingPort::Reply reply) {
             keeper_.Lend(question.account, question.tokens, question.may_draw,
-                         std::move(handler));
+                         [reply = std::move(reply)](const auto& loan) {
+                           reply({loan.given, loan.is_exhausted, true});
+                         });
           },
           [this](const base::AccountId& account, base::Tokens tokens) {
             keeper_.OnGiven(account, tokens);
@@ -140,8 +145,11 @@
          return borrower_.IsOwner(account);
        },
        [this](const base::AccountId& account, base::Tokens tokens,
-              std::function<void(base::Tokens)> handler) {
-         borrower_.Borrow(account, tokens, std::move(handler));
+              std::function<void(prepaid::Keeper::Loan)> handler) {
+         borrower_.Borrow(account, tokens,
+                          [handler = std::move(handler)](const auto& answer) {
+                            handler({answer.given, answer.is_exhausted});
+                          });
        },
        [this](const base::AccountId& account, base::Tokens tokens) {
          borrower_.Give(account, tokens);
--- a/src/dandelionmill/peer/borrower.cc
+++ b/src/dandelionmill/peer/borrower.cc
@@ -54,7 +54,7 @@
 
 void Borrower::Borrow(const base::AccountId& account,
                       base::Tokens tokens,
-                      std::function<void(base::Tokens)> handler) {
+                      LendingPort::Reply handler) {
   auto round = std::make_shared<Round>();
   round->account = account;
   round->tokens = tokens;
@@ -63,7 +63,7 @@
   if (round->left.size() > kMaxAsked)
     round->left.erase(round->left.begin(), round->left.end() - kMaxAsked);
   if (round->left.empty()) {
-    boost::asio::post(loop_, [round] { round->handler(0); });
+    boost::asio::post(loop_, [round] { round->handler({}); });
     return;
   }
   AskNext(std::move(round));
@@ -83,8 +83,10 @@
                 // The next in rank takes the place of the owner.
                 round->owner_asked = false;
               }
+              round->is_exhausted |= answer.is_exhausted;
+              answer.is_exhausted = round->is_exhausted;
               if (answer.given > 0 || round->left.empty())
-                round->handler(answer.given);
+                round->handler(answer);
               else
                 AskNext(round);
             });
--- a/src/dandelionmill/peer/borrower.h
+++ b/src/dandelionmill/peer/borrower.h
@@ -44,7 +44,7 @@
   // The handler gets what was given, later.
   void Borrow(const base::AccountId& account,
               base::Tokens tokens,
-              std::function<void(base::Tokens)> handler);
+              LendingPort::Reply handler);
   // Gives tokens to the instance that owns the account without this one.
   void Give(const base::AccountId& account, base::Tokens tokens);
 
@@ -60,7 +60,9 @@
     std::vector<Instance> left;
     // Whether the first has been asked, which alone draws from the store.
     bool owner_asked = false;
-    std::function<void(base::Tokens)> handler;
+    // Some instance said that the account has too little left.
+    bool is_exhausted = false;
+    LendingPort::Reply handler;
   };
 
   // Returns the other instances in the order of their rank, the first one last,
--- a/src/dandelionmill/peer/lending_port.cc
+++ b/src/dandelionmill/peer/lending_port.cc
@@ -91,7 +91,7 @@
     } else if (message.contains("pending")) {
       OnPending(number);
     } else {
-      OnAnswer(number, tokens);
+      OnAnswer(number, {tokens, message.value("exhausted", false), true});
     }
   } catch (const json::exception& error) {
     log::Event(log::Level::kWarning, "datagram_rejected")
@@ -119,18 +119,22 @@
   received_.push_back({from_, number, ""});
   if (received_.size() > kMaxReceived)
     received_.pop_front();
-  lender_(question, [this, number, question, from = from_](base::Tokens given) {
-    if (given == 0) {
+  lender_(question, [this, number, question, from = from_](Answer answer) {
+    if (answer.given == 0) {
       log::Event(log::Level::kInfo, "prepaid_not_lent")
           .With("account", question.account)
           .With("to", from)
-          .With("asked", question.tokens);
+          .With("asked", question.tokens)
+          .With("exhausted", answer.is_exhausted);
     }
-    const std::string answer =
-        json{{"number", number}, {"tokens", given}}.dump();
+    const std::string text = json{
+        {"number", number},
+        {"tokens", answer.given},
+        {"exhausted",
+         answer.is_exhausted}}.dump();
     if (Received* received = FindReceived(from, number))
-      received->answer = answer;
-    SendTo(from, answer);
+      received->answer = text;
+    SendTo(from, text);
   });
   const Received* received = FindReceived(from_, number);
   if (received != nullptr && received->answer.empty())
@@ -145,21 +149,21 @@
   ArmAskTimer(number, kPatience);
 }
 
-void LendingPort::OnAnswer(std::uint64_t number, base::Tokens given) {
+void LendingPort::OnAnswer(std::uint64_t number, const Answer& answer) {
   const auto found = asked_.find(number);
   if (found == asked_.end())
     return;
   Asked asked = std::move(found->second);
   asked_.erase(found);
   if (asked.handler)
-    asked.handler({given, true});
-  else if (given > 0)
-    late_(asked.account, given);
+    asked.handler(answer);
+  else if (answer.given > 0)
+    late_(asked.account, answer.given);
 }
 
 void LendingPort::Ask(const net::Address& instance,
                       const Question& question,
-                      std::function<void(Answer)> handler) {
+                      Reply handler) {
   const std::uint64_t number = next_number_++;
   Asked& asked = asked_[number];
   asked.account = question.account;
--- a/src/dandelionmill/peer/lending_port.h
+++ b/src/dandelionmill/peer/lending_port.h
@@ -36,12 +36,14 @@
   struct Answer {
     // 0 or all that was asked for.
     base::Tokens given = 0;
+    // Nothing was given because the account has too little left.
+    bool is_exhausted = false;
     // The lender answered at all.
     bool has_come = false;
   };
+  using Reply = std::function<void(Answer)>;
   // Gives away tokens and tells how many, 0 or all.
-  using Lender =
-      std::function<void(const Question&, std::function<void(base::Tokens)>)>;
+  using Lender = std::function<void(const Question&, Reply)>;
   // Takes tokens for which nobody waits: given without a question, or after the
   // asker had stopped waiting.
   using Late = std::function<void(const base::AccountId&, base::Tokens)>;
@@ -55,7 +57,7 @@
   // Asks one instance. The handler runs later, once.
   void Ask(const net::Address& instance,
            const Question& question,
-           std::function<void(Answer)> handler);
+           Reply handler);
   // Gives tokens to an instance that did not ask. They are lost if the datagram
   // is.
   void Give(const net::Address& instance,
@@ -72,7 +74,7 @@
     Endpoint to;
     std::string text;
     bool is_repeated = false;
-    std::function<void(Answer)> handler;
+    Reply handler;
     std::unique_ptr<boost::asio::steady_timer> timer;
   };
   // A question that was received, so that its repetition is not answered anew.
@@ -86,7 +88,7 @@
   void Receive();
   void OnDatagram(const std::string& text);
   void OnQuestion(std::uint64_t number, const Question& question);
-  void OnAnswer(std::uint64_t number, base::Tokens given);
+  void OnAnswer(std::uint64_t number, const Answer& answer);
   void OnPending(std::uint64_t number);
   void OnAskTimer(std::uint64_t number);
   void ArmAskTimer(std::uint64_t number, std::chrono::milliseconds delay);
--- a/src/dandelionmill/prepaid/keeper.cc
+++ b/src/dandelionmill/prepaid/keeper.cc
@@ -394,25 +394,26 @@
 void Keeper::Lend(const base::AccountId& account,
                   base::Tokens tokens,
                   bool may_draw,
-                  std::function<void(base::Tokens)> handler) {
+                  std::function<void(Loan)> handler) {
   if (!HasLimit(account) || is_returning_ ||
       (!may_draw && ledger_.Held(account) < tokens)) {
-    handler(0);
+    handler({});
     return;
   }
   if (ledger_.TryReserve(account, tokens, base::BootClock::now())) {
     ledger_.GiveAway(account, tokens);
-    handler(tokens);
+    handler({tokens, false});
     return;
   }
-  AddWaiter(account, tokens, kLendTimeout,
-            [this, account, tokens,
-             handler = std::move(handler)](ReserveOutcome outcome) {
-              const bool reserved = outcome == ReserveOutcome::kReserved;
-              if (reserved)
-                ledger_.GiveAway(account, tokens);
-              handler(reserved ? tokens : 0);
-            });
+  AddWaiter(
+      account, tokens, kLendTimeout,
+      [this, account, tokens,
+       handler = std::move(handler)](ReserveOutcome outcome) {
+        const bool reserved = outcome == ReserveOutcome::kReserved;
+        if (reserved)
+          ledger_.GiveAway(account, tokens);
+        handler({reserved ? tokens : 0, outcome == ReserveOutcome::kExhausted});
+      });
   waiters_.back().is_lending = true;
   waiters_.back().may_draw = may_draw;
   AskStore(account, tokens);
@@ -431,17 +432,22 @@
     return ReserveOutcome::kUnavailable;
   if (waiter.is_borrowing || ledger_.Held(waiter.account) >= waiter.tokens)
     return std::nullopt;
-  const bool store_has_too_little =
-      IsTotalFresh(waiter.account) &&
-      Undrawn(waiter.account) + ledger_.Held(waiter.account) < waiter.tokens;
-  if (!store_has_too_little && !last_call_failed_)
+  // While the store is away nothing can be returned to it or added that this
+  // instance would hear of, so that what it said last holds.
+  const bool is_known = last_call_failed_ ? totals_[waiter.account].is_known
+                                          : IsTotalFresh(waiter.account);
+  const bool is_exhausted =
+      (is_known && Undrawn(waiter.account) + ledger_.Held(waiter.account) <
+                       waiter.tokens) ||
+      (last_call_failed_ && waiter.owner_refused);
+  if (!is_exhausted && !last_call_failed_)
     return std::nullopt;
   if (!waiter.is_lending && !waiter.has_borrowed && peers_.borrow) {
     StartBorrowing(waiter);
     return std::nullopt;
   }
-  return store_has_too_little ? ReserveOutcome::kExhausted
-                              : ReserveOutcome::kUnavailable;
+  return is_exhausted ? ReserveOutcome::kExhausted
+                      : ReserveOutcome::kUnavailable;
 }
 
 void Keeper::StartBorrowing(Waiter& waiter) {
@@ -452,15 +458,15 @@
   peers_.borrow(
       waiter.account, missing,
       [this, account = waiter.account, number = waiter.number, missing](
-          base::Tokens given) { OnBorrowed(account, number, missing, given); });
+          const Loan& loan) { OnBorrowed(account, number, missing, loan); });
 }
 
 void Keeper::OnBorrowed(const base::AccountId& account,
                         std::uint64_t number,
                         base::Tokens asked,
-                        base::Tokens given) {
-  ledger_.Borrow(account, given);
-  if (given == 0) {
+                        const Loan& loan) {
+  ledger_.Borrow(account, loan.given);
+  if (loan.given == 0) {
     log::Event(log::Level::kInfo, "prepaid_not_borrowed")
         .With("account", account)
         .With("asked", asked);
@@ -470,9 +476,10 @@
       continue;
     other.is_borrowing = false;
     other.has_borrowed = true;
+    other.owner_refused = loan.is_exhausted;
   }
   ServeWaiters();
-  if (given == 0)
+  if (loan.given == 0)
     AskStore(account, asked);
 }
 
--- a/src/dandelionmill/prepaid/keeper.h
+++ b/src/dandelionmill/prepaid/keeper.h
@@ -35,14 +35,20 @@
 class Keeper {
  public:
   using Handler = std::function<void(ReserveOutcome)>;
+  // What another instance gave: all that was asked for, or nothing.
+  struct Loan {
+    base::Tokens given = 0;
+    // Nothing was given because the account has too little left.
+    bool is_exhausted = false;
+  };
+
   // The other instances of the fleet.
   struct Peers {
     // Whether this instance holds the account's tokens for the others.
     std::function<bool(const base::AccountId&)> is_owner;
-    // Asks other instances for tokens; the handler gets 0 or all, later.
-    std::function<void(const base::AccountId&,
-                       base::Tokens,
-                       std::function<void(base::Tokens)>)>
+    // Asks other instances for tokens; the handler gets what they gave, later.
+    std::function<
+        void(const base::AccountId&, base::Tokens, std::function<void(Loan)>)>
         borrow;
     // Gives tokens to another instance without being asked.
     std::function<void(const base::AccountId&, base::Tokens)> give;
@@ -75,12 +81,12 @@
   void OnGiven(const base::AccountId& account, base::Tokens tokens) {
     ledger_.Borrow(account, tokens);
   }
-  // Gives `tokens` to another instance; the handler gets 0 or all of them. They
-  // are drawn from the store first if need be and `may_draw`.
+  // Gives `tokens` to another instance. They are drawn from the store first if
+  // need be and `may_draw`.
   void Lend(const base::AccountId& account,
             base::Tokens tokens,
             bool may_draw,
-            std::function<void(base::Tokens)> handler);
+            std::function<void(Loan)> handler);
   void Settle(const base::AccountId& account,
               base::Tokens reserved,
               base::Tokens used);
@@ -122,6 +128,8 @@
     int rows_stored = 0;
     bool is_borrowing = false;
     bool has_borrowed = false;
+    // The owner said that the account has too little left.
+    bool owner_refused = false;
   };
 
   void Commit(Ledger::Proposal proposal);
@@ -154,7 +162,7 @@
   void OnBorrowed(const base::AccountId& account,
                   std::uint64_t number,
                   base::Tokens asked,
-                  base::Tokens given);
+                  const Loan& loan);
   // Draws tokens, or reads the stored total first if it may be out of date.
   void AskStore(const base::AccountId& account, base::Tokens tokens);
   void LogRefusal(const Waiter& waiter, ReserveOutcome outcome) const;
--- a/tests/unit/peer/lending_port_test.cc
+++ b/tests/unit/peer/lending_port_test.cc
@@ -25,19 +25,20 @@
   boost::asio::io_context loop;
   Tokens late = 0;
   int questions = 0;
-  std::function<void(Tokens)> pending;
+  LendingPort::Reply pending;
   bool answers_at_once = true;
   LendingPort first{
       loop,
-      [](const LendingPort::Question&,
-         const std::function<void(Tokens)>& done) { done(0); },
+      [](const LendingPort::Question&, const LendingPort::Reply& done) {
+        done({0, false, true});
+      },
       [this](const AccountId&, Tokens tokens) { late += tokens; }};
   LendingPort second{loop,
                      [this](const LendingPort::Question& question,
-                            const std::function<void(Tokens)>& done) {
+                            const LendingPort::Reply& done) {
                        ++questions;
                        if (answers_at_once)
-                         done(question.tokens);
+                         done({question.tokens, false, true});
                        else
                          pending = done;
                      },
@@ -75,7 +76,7 @@
   fixture.Run(400);
   CHECK(fixture.questions == 1);
   REQUIRE(fixture.pending);
-  fixture.pending(500);
+  fixture.pending({500, false, true});
   fixture.Run(30);
   CHECK(given == 500);
 }
@@ -89,7 +90,7 @@
   fixture.Run(1500);
   REQUIRE(answer);
   CHECK_FALSE(answer->has_come);
-  fixture.pending(500);
+  fixture.pending({500, false, true});
   fixture.Run(30);
   CHECK(fixture.late == 500);
 }
@@ -102,7 +103,7 @@
   Tokens given = 0;
   for (int i = 0; i < 20; ++i) {
     borrower.Borrow(AccountId("account-" + std::to_string(i)), 10,
-                    [&given](Tokens tokens) { given += tokens; });
+                    [&given](LendingPort::Answer a) { given += a.given; });
   }
   fixture.Run(600);
   CHECK(given == 200);
--- a/tests/unit/prepaid/keeper_test.cc
+++ b/tests/unit/prepaid/keeper_test.cc
@@ -160,13 +160,15 @@
   Fixture fixture;
   auto keeper = fixture.Start("p1");
   bool asked = false;
-  keeper->SetPeers(
-      {[](const AccountId&) { return false; },
-       [&](const AccountId&, Tokens tokens, std::function<void(Tokens)> done) {
-         asked = true;
-         boost::asio::post(fixture.loop, [done, tokens] { done(tokens); });
-       },
-       nullptr});
+  keeper->SetPeers({[](const AccountId&) { return false; },
+                    [&](const AccountId&, Tokens tokens,
+                        std::function<void(Keeper::Loan)> done) {
+                      asked = true;
+                      boost::asio::post(fixture.loop, [done, tokens] {
+                        done({tokens, false});
+                      });
+                    },
+                    nullptr});
   // Gives back what it drew as the owner.
   keeper->Tick();
   RunFor(fixture.loop, milliseconds(20));
@@ -178,7 +180,7 @@
   Fixture fixture;
   auto keeper = fixture.Start("p1");
   std::optional<Tokens> given;
-  const auto take = [&given](Tokens tokens) { given = tokens; };
+  const auto take = [&given](Keeper::Loan loan) { given = loan.given; };
   SECTION("drawn from the store for an asker that may have that") {
     keeper->Lend(kAccount, 90000, true, take);
     RunFor(fixture.loop, milliseconds(50));
@@ -190,3 +192,37 @@
     CHECK(given == Tokens{0});
   }
 }
+
+TEST_CASE("An account that was used up before the store went away is refused",
+          "[prepaid][hot_tenant][platform_down]") {
+  Fixture fixture;
+  auto keeper = fixture.Start("p1");
+  REQUIRE(fixture.Reserve(*keeper, 95000) == ReserveOutcome::kReserved);
+  REQUIRE(fixture.Reserve(*keeper, 6000) == ReserveOutcome::kExhausted);
+  fixture.table.FailAll(CallOutcome::kNotPerformed);
+  keeper->Tick();
+  RunFor(fixture.loop, milliseconds(20));
+  CHECK(fixture.Reserve(*keeper, 6000) == ReserveOutcome::kExhausted);
+}
+
+TEST_CASE("What the owner says of an account holds while the store is away",
+          "[prepaid][hot_tenant][platform_down]") {
+  Fixture fixture;
+  auto keeper =
+      std::make_unique<Keeper>(fixture.loop, fixture.table, "front-2", "p9");
+  const bool is_exhausted = GENERATE(true, false);
+  keeper->SetPeers(
+      {[](const AccountId&) { return false; },
+       [&](const AccountId&, Tokens, std::function<void(Keeper::Loan)> done) {
+         boost::asio::post(fixture.loop, [done, is_exhausted] {
+           done({0, is_exhausted});
+         });
+       },
+       nullptr});
+  fixture.table.FailAll(CallOutcome::kNotPerformed);
+  keeper->SetAccounts({{kAccount, 100000}});
+  RunFor(fixture.loop, milliseconds(20));
+  CHECK(fixture.Reserve(*keeper, 5000) == (is_exhausted
+                                               ? ReserveOutcome::kExhausted
+                                               : ReserveOutcome::kUnavailable));
+}
