--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -38,12 +38,12 @@
 
 // What may be committed without another row, as time of demand: small requests
 // pass at once, large ones wait for a row that lists them.
-constexpr duration<double> kUnlistedDemand{1.5};
+constexpr duration<double> kUnlistedDemand{2.5};
 
 // What may be used in each second after the quiet time: a multiple of the
 // demand, and a part of what is held. Lower ones let a successor recover more.
-constexpr double kRateOfDemand = 2.0;
-constexpr double kRateOfHeld = 1.0 / 16;
+constexpr double kRateOfDemand = 1.25;
+constexpr double kRateOfHeld = 1.0 / 24;
 
 double Seconds(base::BootTime::duration value) {
   return duration<double>(value).count();
