--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -13,6 +13,9 @@
 // largest kinds at one instance.
 constexpr duration<double> kDemandMemory{5.0};
 
+// Weight of one more request in their mean size.
+constexpr double kRequestWeight = 0.1;
+
 // Part of that past after which a first measurement is scaled up, at least.
 constexpr double kMinMeasured = 0.3;
 
@@ -36,9 +39,11 @@
 // Tokens that are not worth a transaction.
 constexpr double kMinReturn = 5000;
 
-// What may be committed without another row, as time of demand: small requests
-// pass at once, large ones wait for a row that lists them.
-constexpr duration<double> kUnlistedDemand{2.5};
+// What may be committed without another row: time of demand, for the interval
+// between rows and the quiet time, and a multiple of the mean request, for
+// accounts with few and large ones.
+constexpr duration<double> kUnlistedDemand{1.2};
+constexpr double kUnlistedRequests = 1.5;
 
 // What may be used in each second after the quiet time: a multiple of the
 // demand, and a part of what is held. Lower ones let a successor recover more.
@@ -71,6 +76,8 @@
   share.recent *=
       std::exp(-Seconds(now - share.recent_at) / kDemandMemory.count());
   share.recent += static_cast<double>(tokens);
+  share.mean_request +=
+      kRequestWeight * (static_cast<double>(tokens) - share.mean_request);
   share.recent_at = now;
   return true;
 }
@@ -153,10 +160,11 @@
     HolderShare entry;
     entry.drawn = share.drawn + share.recovered + move;
     const double demand = DemandPerSecond(share, now);
-    entry.committed = std::min(
-        entry.drawn,
-        share.committed() + listed[account] +
-            static_cast<base::Tokens>(demand * kUnlistedDemand.count()));
+    entry.committed =
+        std::min(entry.drawn, share.committed() + listed[account] +
+                                  static_cast<base::Tokens>(std::max(
+                                      demand * kUnlistedDemand.count(),
+                                      kUnlistedRequests * share.mean_request)));
     entry.rate_per_s = std::floor(std::max(
         kRateOfDemand * demand,
         kRateOfHeld * static_cast<double>(entry.drawn - entry.committed)));
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -24,7 +24,7 @@
  public:
   // How long after a stored row no more than it lists is committed. Rows are
   // stored more often than this while the store answers.
-  static constexpr std::chrono::milliseconds kQuiet{1000};
+  static constexpr std::chrono::milliseconds kQuiet{500};
 
   // What the keeper knows of an account when it asks for a proposal.
   struct AccountView {
@@ -117,6 +117,7 @@
     // Tokens reserved, decaying with kDemandMemory.
     double recent = 0;
     base::BootTime recent_at{};
+    double mean_request = 0;
     base::BootTime first_at{};
 
     // Borrowed tokens are used first; only the rest counts against `drawn`.
