A backend server that has taken over an address gets nothing more; documentation

Cause: an answer 421 was refused to the caller as if the server were full, and the stale entry was used again until the registry changed it. Test: sessions_gateway, failed before by its second request.

--- a/src/dandelionmill/gateway/backend_directory.h
+++ b/src/dandelionmill/gateway/backend_directory.h
@@ -27,6 +27,9 @@
   void Put(const BackendEntry& entry);
   // An entry was deleted, or its content names no backend server.
   void Remove(const base::BackendId& id, base::MonoTime now);
+  // The entry has proved wrong: another server has its address. It is used
+  // again once it changes.
+  void Discard(const base::BackendId& id) { members_.erase(id); }
   // These entries exist and no others.
   void Replace(const std::vector<BackendEntry>& entries, base::MonoTime now);
   // The registry started to answer again; it was still away at `away_at`.
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -476,6 +476,10 @@
       .With("request", terms_.attempt)
       .With("backend", backend_->id)
       .With("status", status_);
+  if (answer_.is_other_backend) {
+    core_.directory.Discard(backend_->id);
+    core_.pool.Drop(backend_->id);
+  }
   if (may_have_run_) {
     TryAgainOr(FailAfterRun(base::Code::kBackendFailed, 502,
                             "the backend servers did not answer"));
@@ -485,8 +489,12 @@
     Place();
     return;
   }
-  Refuse(RefuseNotRun(base::Code::kOverloaded, "the backend servers are full",
-                      kRetryWhenFull));
+  Refuse(answer_.is_other_backend
+             ? RefuseNotRun(base::Code::kNoBackend,
+                            "the backend server has been replaced",
+                            kRetryElsewhere)
+             : RefuseNotRun(base::Code::kOverloaded,
+                            "the backend servers are full", kRetryWhenFull));
 }
 
 void Exchange::OnFailureStatus() {
@@ -637,8 +645,9 @@
     Finish("failed", status_, code, refusal.detail);
     return;
   }
-  caller_->Send(ToAnswer(refusal, terms_.attempt,
-                         !caller_keeps_connection_ || core_.ShedsConnections()));
+  caller_->Send(
+      ToAnswer(refusal, terms_.attempt,
+               !caller_keeps_connection_ || core_.ShedsConnections()));
   Finish(outcome, refusal.status, code, refusal.detail);
 }
 
--- a/src/dandelionmill/gateway/overload_detector.cc
+++ b/src/dandelionmill/gateway/overload_detector.cc
@@ -33,8 +33,7 @@
   }
   const duration<double> passed = now - last_tick_;
   last_tick_ = now;
-  const double bits =
-      8.0 * static_cast<double>(std::max(received_, sent_));
+  const double bits = 8.0 * static_cast<double>(std::max(received_, sent_));
   received_ = 0;
   sent_ = 0;
   if (link_bits_per_s_ > 0 && passed.count() > 0) {
--- a/src/dandelionmill/gateway/overload_detector.h
+++ b/src/dandelionmill/gateway/overload_detector.h
@@ -9,7 +9,8 @@
 namespace dandelionmill::gateway {
 
 // Tells when this instance has more to do than its network link or its share of
-// the processor carries, so that callers are better served by another one. Pure.
+// the processor carries, so that callers are better served by another one.
+// Pure.
 class OverloadDetector {
  public:
   // `link_bits_per_s` is the rate of the instance's link in each direction; 0
--- a/src/dandelionmill/gateway/refusal.h
+++ b/src/dandelionmill/gateway/refusal.h
@@ -42,8 +42,8 @@
 // When to come back after all tried backend servers were full: a running
 // request of ordinary length has ended by then.
 inline constexpr std::chrono::milliseconds kRetryWhenFull{400};
-// When to come back to an instance that is shutting down: the retry goes to
-// another one.
+// When to come back where the next try meets another instance or another
+// backend server: at once.
 inline constexpr std::chrono::milliseconds kRetryElsewhere{20};
 
 // Returns the whole HTTP answer, with a problem document as its body.
--- a/src/dandelionmill/gateway/request_terms.h
+++ b/src/dandelionmill/gateway/request_terms.h
@@ -52,6 +52,8 @@
   base::AttemptId attempt;
   // The backend server states that it did not run the request.
   bool not_executed = false;
+  // It is not the backend server that was expected there.
+  bool is_other_backend = false;
   // The answer carries the proof of the run.
   bool has_signature = false;
   struct Load {
--- a/src/dandelionmill/platform/headers.cc
+++ b/src/dandelionmill/platform/headers.cc
@@ -221,6 +221,7 @@
   terms.attempt = base::AttemptId(Text(message, kAttemptId));
   terms.not_executed =
       status == kMisdirected || message.find("Not-Executed") != message.end();
+  terms.is_other_backend = status == kMisdirected;
   terms.has_signature = message.find("Server-Signature") != message.end();
   // Running, waiting and slots in one field.
   terms.load = ParseLoad(Text(message, "Server-Load"));
--- a/tests/sessions/gateway/requests_test.cc
+++ b/tests/sessions/gateway/requests_test.cc
@@ -112,6 +112,22 @@
   }
 }
 
+TEST_CASE("A backend server that has taken over an address gets nothing more",
+          "[gateway][replace_with_reuse]") {
+  GatewayFixture fleet;
+  ScriptedEngine& other =
+      fleet.AddEngine("i-1", [](const Request& request) -> Answer {
+        return {{{"HTTP/1.1 421 X\r\nInstance-Id: i-2\r\nAttempt-Id: " +
+                  std::string(request["Attempt-Id"]) +
+                  "\r\nContent-Length: 0\r\n\r\n"}}};
+      });
+  const Received first = fleet.Send("/once/");
+  CHECK(first.status == 503);
+  CHECK(first.fields.at("Retry-After") == "0.020");
+  CHECK(fleet.Send("/once/").status == 503);
+  CHECK(other.requests().size() == 1);
+}
+
 TEST_CASE("A failed idempotent request is answered by another engine",
           "[gateway]") {
   GatewayFixture fleet;
