Give up connections to backend servers whose path has gone

Cause: a kept connection can go silent for good while new ones work; a request that may not run again waited for its deadline, and the next took another such connection from the pool. Change: keep-alive probes and a bound on unacknowledged bytes; kept connections to a backend server are dropped after a silence or a deadline without any answer.

--- a/src/dandelionmill/gateway/connection_pool.cc
+++ b/src/dandelionmill/gateway/connection_pool.cc
@@ -1,5 +1,6 @@
 #include "dandelionmill/gateway/connection_pool.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -25,6 +26,14 @@
 // between regions, and a pause of the process.
 constexpr std::chrono::milliseconds kIdleMargin{700};
 
+// A connection whose path has gone is given up by the kernel: probes after this
+// silence, this often, so many; and unacknowledged bytes after this time. A
+// backend server that is only slow still acknowledges.
+constexpr int kProbeAfterS = 2;
+constexpr int kProbeEveryS = 1;
+constexpr int kProbes = 2;
+constexpr int kUnacknowledgedMs = 3000;
+
 // Kept connections to one backend server, at most.
 constexpr std::size_t kMaxIdlePerBackend = 48;
 
@@ -36,6 +45,18 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void SetTimeouts(tcp::socket& socket) {
+  using asio::detail::socket_option::integer;
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kProbeAfterS), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(kProbeEveryS), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kProbes), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnacknowledgedMs),
+                    ignored);
+}
+
 bool IsFresh(const BackendConnection& connection,
              std::chrono::milliseconds max_idle,
              base::MonoTime now) {
@@ -91,8 +112,7 @@
                  : ConnectFailure::kUnreachable);
       return;
     }
-    error_code ignored;
-    connection_->socket.set_option(tcp::no_delay(true), ignored);
+    SetTimeouts(connection_->socket);
     Finish(std::move(connection_));
   }
 
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -594,6 +594,8 @@
         .With("backend", backend_->id)
         .With("after", duration_cast<milliseconds>(now - sent_at_));
     may_have_run_ = true;
+    // Other connections may have gone silent with this one.
+    core_.pool.Drop(backend_->id);
     EndAttempt(AttemptEnd::kBroken);
     Place();
     return;
@@ -602,6 +604,8 @@
 }
 
 void Exchange::OnDeadline() {
+  if (call_ && status_ == 0)
+    core_.pool.Drop(backend_->id);
   EndAttempt(AttemptEnd::kAbandoned);
   if (sends_ == 0) {
     Refuse(RefuseNotRun(base::Code::kDeadlineExceeded,
