--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -25,7 +25,7 @@
 
 // Share of what is left of an account that its owner holds at most: the rest is
 // for instances that cannot reach the owner.
-constexpr double kLargestShare = 0.75;
+constexpr double kLargestShare = 0.95;
 
 // Share of what nobody has drawn that the owner holds without any demand, so
 // that a cut right after the start refuses nobody.
--- a/tests/unit/prepaid/ledger_test.cc
+++ b/tests/unit/prepaid/ledger_test.cc
@@ -163,3 +163,17 @@
   };
   CHECK(moved_after(8000) > moved_after(1000));
 }
+
+TEST_CASE("The owner holds nearly all that is left of an account that runs low",
+          "[prepaid][platform_down][hot_tenant]") {
+  Ledger ledger("p1");
+  Draw(ledger, 100000, 0);
+  for (int ms = 0; ms < 4000; ms += 100) {
+    if (ledger.TryReserve(kAccount, 2400, At(ms)))
+      ledger.Settle(kAccount, 2400, 2400);
+  }
+  // 20 000 are left; the demand of one second is 24 000.
+  const auto proposal =
+      ledger.Propose({View(120000, 100000)}, milliseconds(54000), At(4000));
+  CHECK(proposal.moves.at(kAccount) >= 18000);
+}
