Test that a request which a shutdown would cut is refused

Seen failing: with the check replaced by `if (false)`, the session fails (status 200, expected 503). With the check: passes.

--- a/src/dandelionmill/gateway/core.h
+++ b/src/dandelionmill/gateway/core.h
@@ -13,6 +13,7 @@
 #include "dandelionmill/gateway/overload_detector.h"
 #include "dandelionmill/gateway/placement.h"
 #include "dandelionmill/gateway/retry_allowance.h"
+#include "dandelionmill/gateway/shutdown_window.h"
 #include "dandelionmill/prepaid/keeper.h"
 
 namespace dandelionmill::gateway {
@@ -61,10 +62,7 @@
   // Instances of the fleet that are alive, this one included.
   int instances = 1;
   bool is_leaving = false;
-  // While leaving: from then on only requests are taken that end, by their
-  // deadlines, before `ends_at`.
-  base::MonoTime last_new_request{};
-  base::MonoTime ends_at{};
+  ShutdownWindow shutdown_window;
   int open_exchanges = 0;
 };
 
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -115,8 +115,7 @@
     return RefuseNotRun(base::Code::kDeadlineExceeded,
                         "too little time is left", std::nullopt);
   }
-  if (core_.is_leaving && begun_ > core_.last_new_request &&
-      deadline_ > core_.ends_at) {
+  if (!core_.shutdown_window.Admits(begun_, deadline_)) {
     return RefuseNotRun(base::Code::kLeaving, "the instance is shutting down",
                         kRetryElsewhere);
   }
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -359,8 +359,9 @@
   left_ = std::move(done);
   leaving_since_ = std::chrono::steady_clock::now();
   core_.is_leaving = true;
-  core_.last_new_request = leaving_since_ + kLastNewRequest;
-  core_.ends_at = leaving_since_ + settings_.shutdown_grace - kLastWords;
+  core_.shutdown_window = {
+      leaving_since_ + kLastNewRequest,
+      leaving_since_ + settings_.shutdown_grace - kLastWords};
 }
 
 void Gateway::OnLeavingTick(base::MonoTime now) {
--- a/tests/sessions/gateway/requests_test.cc
+++ b/tests/sessions/gateway/requests_test.cc
@@ -316,3 +316,26 @@
   CHECK(fleet.store.Value("prepaid", "account:painters", "total")["drawn"] ==
         2 * 915);
 }
+
+TEST_CASE("A request that a shutdown would cut is refused as not run",
+          "[gateway]") {
+  json state = DesiredState(1);
+  state["routes"][3]["timeoutMs"] = 4000;
+  GatewayFixture fleet(state);
+  fleet.AddEngine("i-1", [](const Request& request) {
+    Answer answer = Stream(request, 3, Answer::Then::kKeep);
+    answer.steps[2].pause_before = milliseconds(3500);
+    return answer;
+  });
+  // An answer under way keeps the process up past its last new request.
+  Received held;
+  std::thread caller([&] { held = fleet.Send("/single/", kTokens); });
+  std::this_thread::sleep_for(milliseconds(200));
+  fleet.Leave();
+  std::this_thread::sleep_for(milliseconds(2950));
+  const Received late = fleet.Send("/single/", kTokens);
+  caller.join();
+  CHECK(held.body == EventsTo(3));
+  CHECK(late.status == 503);
+  CHECK(late.fields.count("Retry-After") == 1);
+}
