A claim row with a field of the wrong type is an error, not an exception

Cause: ParseClaim read fields with json.value, which throws on a wrong type; the budget module did not expect that.

Not done: rows of holders, order leases and engine records are read the same way in ParseHolderRecord, OrderLease::Parse, budget_backend_inspector and engine_client; only our own processes write the first two.

--- a/src/dandelionmill/control/internal/budget_core_settle.cc
+++ b/src/dandelionmill/control/internal/budget_core_settle.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dandelionmill/control/internal/budget_core.h"
+#include "dandelionmill/control/internal/tokens_used.h"
 #include "dandelionmill/log/event.h"
 
 namespace dandelionmill::control {
@@ -24,21 +25,6 @@
 
 constexpr std::size_t kMaxLateSettles = 10000;
 
-// The tokens that an attempt is charged, of `reserved` at most.
-base::Tokens TokensUsed(const wire::Settle& settle, base::Tokens reserved) {
-  // Plain services cost a fixed number of tokens per call.
-  if (settle.outcome() == wire::OUTCOME_UNKNOWN || settle.model().empty())
-    return reserved;
-  const base::Tokens used = settle.prompt_tokens() + settle.completion_tokens();
-  if (used > reserved) {
-    log::Event(log::Level::kError, "use_exceeds_reservation")
-        .With("attempt", settle.attempt())
-        .With("used", used)
-        .With("reserved", reserved);
-  }
-  return std::clamp<base::Tokens>(used, 0, reserved);
-}
-
 billing::Charge ChargeOf(const wire::Settle& settle, base::Tokens tokens) {
   billing::Charge charge;
   charge.account = base::AccountId(settle.account());
--- a/src/dandelionmill/idempotency/claim.cc
+++ b/src/dandelionmill/idempotency/claim.cc
@@ -42,14 +42,19 @@
   const Json json = Json::parse(text, nullptr, false);
   if (!json.is_object() || !json.contains("attempt"))
     return base::Error{base::Code::kMalformedMessage, "claim row: " + text};
-  Claim claim;
-  claim.attempt = base::AttemptId(json.value("attempt", ""));
-  claim.state = ParseState(json.value("state", ""));
-  claim.body_sha256 = json.value("body_sha256", "");
-  claim.holder = base::HolderId(json.value("holder", ""));
-  claim.backend = base::BackendId(json.value("backend", ""));
-  claim.at_unix_ms = json.value("at_unix_ms", std::int64_t{0});
-  return claim;
+  try {
+    Claim claim;
+    claim.attempt = base::AttemptId(json.value("attempt", ""));
+    claim.state = ParseState(json.value("state", ""));
+    claim.body_sha256 = json.value("body_sha256", "");
+    claim.holder = base::HolderId(json.value("holder", ""));
+    claim.backend = base::BackendId(json.value("backend", ""));
+    claim.at_unix_ms = json.value("at_unix_ms", std::int64_t{0});
+    return claim;
+  } catch (const Json::exception& exception) {
+    return base::Error{base::Code::kMalformedMessage,
+                       "claim row: " + std::string(exception.what())};
+  }
 }
 
 std::string ToJson(const Claim& claim) {
--- /dev/null
+++ b/tests/unit/idempotency/claim_test.cc
@@ -0,0 +1,52 @@
+#include "dandelionmill/idempotency/claim.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace dandelionmill::
+    idempotency;  // NOLINT(google-build-using-namespace)
+namespace base = dandelionmill::base;
+
+namespace {
+
+Claim ClaimInState(const std::string& state) {
+  const auto parsed = ParseClaim(
+      R"({"attempt":"a-1","body_sha256":"b","state":)" + state + "}");
+  REQUIRE(base::IsOk(parsed));
+  return base::ValueOf(parsed);
+}
+
+Claim OtherAttempt() {
+  Claim wanted;
+  wanted.attempt = base::AttemptId("a-2");
+  wanted.body_sha256 = "b";
+  return wanted;
+}
+
+}  // namespace
+
+TEST_CASE("A claim whose state is not known allows nothing", "[idempotency]") {
+  const std::string state =
+      GENERATE(R"("")", R"("settled")", R"("Released")", R"("claimed")");
+  const Claim claim = ClaimInState(state);
+  CHECK(claim.state == ClaimState::kClaimed);
+  const ClaimVerdict verdict = JudgeClaim(claim, OtherAttempt());
+  REQUIRE(std::holds_alternative<Rejected>(verdict));
+  CHECK(std::get<Rejected>(verdict).ran == base::Ran::kMaybe);
+}
+
+TEST_CASE("A claim without a state allows nothing", "[idempotency]") {
+  const auto parsed = ParseClaim(R"({"attempt":"a-1"})");
+  REQUIRE(base::IsOk(parsed));
+  CHECK(base::ValueOf(parsed).state == ClaimState::kClaimed);
+}
+
+TEST_CASE("A claim whose state has the wrong type is an error",
+          "[idempotency]") {
+  CHECK_FALSE(base::IsOk(ParseClaim(R"({"attempt":"a-1","state":7})")));
+}
+
+TEST_CASE("A released claim may be taken", "[idempotency]") {
+  CHECK(std::holds_alternative<ClaimMayBeTaken>(
+      JudgeClaim(ClaimInState(R"("released")"), OtherAttempt())));
+}
