--- a/src/dandelionmill/backend/attempt_stream.cc
+++ b/src/dandelionmill/backend/attempt_stream.cc
@@ -1,7 +1,6 @@
 #include "dandelionmill/backend/attempt_stream.h"
 
 #include <algorithm>
-#include <thread>
 #include <utility>
 
 #include "dandelionmill/base/overloaded.h"
@@ -33,8 +32,10 @@
 
 }  // namespace
 
-AttemptStream::AttemptStream(Options options)
-    : options_(std::move(options)), heard_at_(steady_clock::now()) {
+AttemptStream::AttemptStream(net::Fiber& fiber, Options options)
+    : fiber_(fiber),
+      options_(std::move(options)),
+      heard_at_(steady_clock::now()) {
   if (options_.start) {
     starting_ = true;
     Open(*options_.start);
@@ -45,13 +46,13 @@
 
 AttemptStream::~AttemptStream() = default;
 
-void AttemptStream::Open(HttpCall call) {
+void AttemptStream::Open(net::HttpCall call) {
   reader_.reset();
   StreamReader::Options reader;
   reader.address = options_.address;
   reader.call = std::move(call);
   reader.read_timeout = kReadTimeout;
-  reader_ = std::make_unique<StreamReader>(std::move(reader));
+  reader_ = std::make_unique<StreamReader>(fiber_, std::move(reader));
   heard_at_ = steady_clock::now();
   check_at_ = heard_at_ + options_.tuning.silent_after;
   gap_since_.reset();
@@ -61,7 +62,7 @@
   if (++resumes_without_event_ > kMaxFruitlessResumes)
     return End(StreamEnd::Kind::kBroken);
   starting_ = false;
-  HttpCall call;
+  net::HttpCall call;
   call.method = "GET";
   call.path = AttemptPath(options_.attempt) + "/events";
   if (sequencer_.last() > 0) {
@@ -72,20 +73,10 @@
   return std::nullopt;
 }
 
-AttemptStream::Step AttemptStream::Next(base::MonoTime until,
-                                        const OnEvents& on_events) {
+AttemptStream::Step AttemptStream::Next(base::MonoTime until) {
   Step step;
-  bool stopped = false;
-  StreamReader::Handler handler;
-  if (on_events) {
-    handler = [&](std::vector<SseEvent> events) {
-      const std::vector<SseEvent> ready = Deliver(std::move(events));
-      stopped = !ready.empty() && !on_events(ready);
-      return !stopped && !done_ && !gap_since_;
-    };
-  }
-  while (!step.end && step.events.empty() && !stopped) {
-    StreamReader::Batch batch = reader_->Take(NextCheck(until), handler);
+  while (!step.end && step.events.empty()) {
+    StreamReader::Batch batch = reader_->Take(NextCheck(until));
     const base::MonoTime now = steady_clock::now();
     if (!batch.events.empty())
       step.events = Deliver(std::move(batch.events));
@@ -166,8 +157,9 @@
       steady_clock::now() + options_.tuning.give_up_after;
   int refused = 0;
   while (steady_clock::now() < give_up) {
-    const ProbeResult probe = ProbeAttempt(options_.address, options_.attempt,
-                                           options_.tuning.probe_timeout);
+    const ProbeResult probe =
+        ProbeAttempt(fiber_, options_.address, options_.attempt,
+                     options_.tuning.probe_timeout);
     if (const auto* record = std::get_if<AttemptRecord>(&probe))
       return record->state == AttemptRecord::State::kCancelled
                  ? End(StreamEnd::Kind::kCancelled)
@@ -177,15 +169,16 @@
     if (std::holds_alternative<BackendDown>(probe) &&
         ++refused >= kMaxDoubtfulChecks)
       return End(StreamEnd::Kind::kCrashed);
-    std::this_thread::sleep_for(kInvestigatePause);
+    fiber_.SleepUntil(steady_clock::now() + kInvestigatePause);
   }
   return End(StreamEnd::Kind::kBroken);
 }
 
 AttemptStream::Outcome AttemptStream::CheckSilence(base::MonoTime now) {
   check_at_ = now + options_.tuning.silent_after;
-  const ProbeResult probe = ProbeAttempt(options_.address, options_.attempt,
-                                         options_.tuning.probe_timeout);
+  const ProbeResult probe =
+      ProbeAttempt(fiber_, options_.address, options_.attempt,
+                   options_.tuning.probe_timeout);
   if (const auto* record = std::get_if<AttemptRecord>(&probe)) {
     doubtful_checks_ = 0;
     const bool lags = record->state != AttemptRecord::State::kRunning ||
--- a/src/dandelionmill/backend/attempt_stream.h
+++ b/src/dandelionmill/backend/attempt_stream.h
@@ -2,7 +2,6 @@
 #define SRC_DANDELIONMILL_BACKEND_ATTEMPT_STREAM_H_
 
 #include <chrono>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,7 +42,7 @@
 // The event stream of one attempt at a model engine, across connections: each
 // event is delivered once and in order. A broken connection, a lasting gap or
 // a silent connection leads to a new one that resumes after the last event.
-// For one consumer thread.
+// Used by one fiber.
 class AttemptStream {
  public:
   struct Tuning {
@@ -60,7 +59,7 @@
     base::AttemptId attempt;
     // What starts the attempt; without it, a running one is read from its
     // first event.
-    std::optional<HttpCall> start;
+    std::optional<net::HttpCall> start;
     Tuning tuning;
   };
   // Events in order, and the end once it is reached.
@@ -74,18 +73,12 @@
     int silent_moves = 0;
   };
 
-  explicit AttemptStream(Options options);
+  AttemptStream(net::Fiber& fiber, Options options);
   ~AttemptStream();
 
-  // Handles events in order, on whichever thread has them; the caller of Next
-  // waits meanwhile. Returns false to make Next return. Must not destroy the
-  // stream.
-  using OnEvents = std::function<bool(const std::vector<SseEvent>& events)>;
-
   // Returns as soon as there are events or the end, with nothing at `until`.
-  // With `on_events`, most events go to it instead, and Next goes on waiting.
   // A probe in progress may delay it by about `probe_timeout`.
-  Step Next(base::MonoTime until, const OnEvents& on_events = nullptr);
+  Step Next(base::MonoTime until);
 
   // The tokens used, as far as they were received; `prompt_known` tells whether
   // the engine has reported the prompt.
@@ -96,7 +89,7 @@
  private:
   using Outcome = std::optional<StreamEnd>;
 
-  void Open(HttpCall call);
+  void Open(net::HttpCall call);
   // Reads on over a new connection; ends the stream when that was tried too
   // often without a new event.
   Outcome Resume();
@@ -110,6 +103,7 @@
   Outcome CheckSilence(base::MonoTime now);
   base::MonoTime NextCheck(base::MonoTime until) const;
 
+  net::Fiber& fiber_;
   const Options options_;
   std::unique_ptr<StreamReader> reader_;
   bool starting_ = false;
--- a/src/dandelionmill/backend/plain_call.cc
+++ b/src/dandelionmill/backend/plain_call.cc
@@ -1,8 +1,7 @@
 #include "dandelionmill/backend/plain_call.h"
 
-#include <httplib.h>
-
-#include <algorithm>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <utility>
 
 namespace dandelionmill::backend {
 namespace {
@@ -11,51 +10,45 @@
 
 constexpr milliseconds kConnectTimeout{1000};
 
+PlainAnswer::Kind KindOf(net::CallFailure failure) {
+  switch (failure) {
+    case net::CallFailure::kRefused:
+    case net::CallFailure::kConnectTimedOut:
+      return PlainAnswer::Kind::kNotSent;
+    case net::CallFailure::kTimedOut:
+      return PlainAnswer::Kind::kTimedOut;
+    case net::CallFailure::kBroken:
+      return PlainAnswer::Kind::kBroken;
+  }
+  return PlainAnswer::Kind::kBroken;
+}
+
 }  // namespace
 
-PlainAnswer CallPlain(const net::Address& address,
-                      const HttpCall& call,
+PlainAnswer CallPlain(net::Fiber& fiber,
+                      const net::Address& address,
+                      const net::HttpCall& call,
                       milliseconds timeout) {
-  const auto began = std::chrono::steady_clock::now();
-  httplib::Client client(address.host, address.port);
-  client.set_tcp_nodelay(true);
-  client.set_keep_alive(false);
-  client.set_follow_location(false);
-  client.set_connection_timeout(std::min(kConnectTimeout, timeout));
-  client.set_read_timeout(timeout);
-  client.set_write_timeout(timeout);
-  httplib::Request request;
-  request.method = call.method;
-  request.path = call.path;
-  for (const auto& [name, value] : call.headers)
-    request.headers.emplace(name, value);
-  request.body = call.body;
-  httplib::Result result = client.send(request);
+  auto result = net::Call(fiber, address, call, {kConnectTimeout, timeout});
   PlainAnswer answer;
-  if (result) {
-    answer.kind = PlainAnswer::Kind::kAnswered;
-    answer.status = result->status;
-    answer.content_type = result->get_header_value("Content-Type");
-    answer.says_not_run = result->get_header_value("X-Request-Ran") == "no";
-    answer.body = std::move(result.value().body);
+  if (const auto* failure = std::get_if<net::CallFailure>(&result)) {
+    answer.kind = KindOf(*failure);
     return answer;
   }
-  if (result.error() == httplib::Error::Connection ||
-      result.error() == httplib::Error::ConnectionTimeout)
-    answer.kind = PlainAnswer::Kind::kNotSent;
-  else if (std::chrono::steady_clock::now() - began >= timeout)
-    answer.kind = PlainAnswer::Kind::kTimedOut;
+  auto& received = std::get<net::HttpAnswer>(result);
+  answer.kind = PlainAnswer::Kind::kAnswered;
+  answer.status = received.status;
+  answer.content_type = received.fields.Get("Content-Type");
+  answer.says_not_run = received.fields.Get("X-Request-Ran") == "no";
+  answer.body = std::move(received.body);
   return answer;
 }
 
-bool AcceptsConnections(const net::Address& address, milliseconds timeout) {
-  httplib::Client client(address.host, address.port);
-  client.set_connection_timeout(timeout);
-  client.set_read_timeout(timeout);
-  client.set_write_timeout(timeout);
-  const httplib::Result result = client.Get("/v1/load");
-  return result || (result.error() != httplib::Error::Connection &&
-                    result.error() != httplib::Error::ConnectionTimeout);
+bool AcceptsConnections(net::Fiber& fiber,
+                        const net::Address& address,
+                        milliseconds timeout) {
+  boost::beast::tcp_stream stream(fiber.loop());
+  return !net::Connect(fiber, address, timeout, stream);
 }
 
 }  // namespace dandelionmill::backend
--- a/src/dandelionmill/backend/plain_call.h
+++ b/src/dandelionmill/backend/plain_call.h
@@ -2,11 +2,11 @@
 #define SRC_DANDELIONMILL_BACKEND_PLAIN_CALL_H_
 
 #include <chrono>
-#include <map>
 #include <string>
 
-#include "dandelionmill/backend/stream_reader.h"
 #include "dandelionmill/net/address.h"
+#include "dandelionmill/net/fiber.h"
+#include "dandelionmill/net/http_client.h"
 
 namespace dandelionmill::backend {
 
@@ -30,13 +30,15 @@
 };
 
 // Sends `call` once, over a fresh connection, and reads the whole answer.
-// Never sends it again by itself. Blocks for at most about `timeout`.
-PlainAnswer CallPlain(const net::Address& address,
-                      const HttpCall& call,
+// Never sends it again by itself. Waits for at most about `timeout`.
+PlainAnswer CallPlain(net::Fiber& fiber,
+                      const net::Address& address,
+                      const net::HttpCall& call,
                       std::chrono::milliseconds timeout);
 
 // Whether a new connection to `address` can be made.
-bool AcceptsConnections(const net::Address& address,
+bool AcceptsConnections(net::Fiber& fiber,
+                        const net::Address& address,
                         std::chrono::milliseconds timeout);
 
 }  // namespace dandelionmill::backend
--- a/src/dandelionmill/backend/probe.cc
+++ b/src/dandelionmill/backend/probe.cc
@@ -1,26 +1,16 @@
 #include "dandelionmill/backend/probe.h"
 
-#include <httplib.h>
-
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "dandelionmill/net/http_client.h"
+
 namespace dandelionmill::backend {
 namespace {
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
-httplib::Client MakeClient(const net::Address& address,
-                           std::chrono::milliseconds timeout) {
-  httplib::Client client(address.host, address.port);
-  client.set_tcp_nodelay(true);
-  client.set_connection_timeout(timeout);
-  client.set_read_timeout(timeout);
-  client.set_write_timeout(timeout);
-  return client;
-}
-
 base::Tokens IntegerOf(const nlohmann::json& object, const char* key) {
   const auto found = object.find(key);
   return found != object.end() && found->is_number_integer()
@@ -28,15 +18,17 @@
              : 0;
 }
 
-ProbeResult ReadRecord(const httplib::Result& result) {
-  if (!result)
-    return result.error() == httplib::Error::Connection
-               ? ProbeResult(BackendDown{})
-               : ProbeResult(NoAnswer{});
-  if (result->status == kNotFound)
+ProbeResult ReadRecord(
+    const std::variant<net::HttpAnswer, net::CallFailure>& result) {
+  if (const auto* failure = std::get_if<net::CallFailure>(&result)) {
+    return *failure == net::CallFailure::kRefused ? ProbeResult(BackendDown{})
+                                                  : ProbeResult(NoAnswer{});
+  }
+  const auto& answer = std::get<net::HttpAnswer>(result);
+  if (answer.status == kNotFound)
     return AttemptUnknown{};
-  const auto json = nlohmann::json::parse(result->body, nullptr, false);
-  if (result->status != kOk || !json.is_object() || !json.contains("state"))
+  const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+  if (answer.status != kOk || !json.is_object() || !json.contains("state"))
     return NoAnswer{};
   AttemptRecord record;
   record.usage = {IntegerOf(json, "prompt_tokens"),
@@ -50,24 +42,34 @@
   return record;
 }
 
+ProbeResult Ask(net::Fiber& fiber,
+                const net::Address& address,
+                const char* method,
+                const base::AttemptId& attempt,
+                std::chrono::milliseconds timeout) {
+  return ReadRecord(net::Call(fiber, address,
+                              {method, AttemptPath(attempt), {}, {}},
+                              {timeout, timeout}));
+}
+
 }  // namespace
 
 std::string AttemptPath(const base::AttemptId& attempt) {
-  return "/v1/attempts/" + httplib::detail::encode_query_param(attempt.value());
+  return "/v1/attempts/" + net::EncodePercent(attempt.value());
 }
 
-ProbeResult ProbeAttempt(const net::Address& address,
+ProbeResult ProbeAttempt(net::Fiber& fiber,
+                         const net::Address& address,
                          const base::AttemptId& attempt,
                          std::chrono::milliseconds timeout) {
-  httplib::Client client = MakeClient(address, timeout);
-  return ReadRecord(client.Get(AttemptPath(attempt)));
+  return Ask(fiber, address, "GET", attempt, timeout);
 }
 
-ProbeResult CancelAttempt(const net::Address& address,
+ProbeResult CancelAttempt(net::Fiber& fiber,
+                          const net::Address& address,
                           const base::AttemptId& attempt,
                           std::chrono::milliseconds timeout) {
-  httplib::Client client = MakeClient(address, timeout);
-  return ReadRecord(client.Delete(AttemptPath(attempt)));
+  return Ask(fiber, address, "DELETE", attempt, timeout);
 }
 
 }  // namespace dandelionmill::backend
--- a/src/dandelionmill/backend/probe.h
+++ b/src/dandelionmill/backend/probe.h
@@ -8,6 +8,7 @@
 #include "dandelionmill/backend/chunk.h"
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/net/address.h"
+#include "dandelionmill/net/fiber.h"
 
 namespace dandelionmill::backend {
 
@@ -32,12 +33,14 @@
 
 // Asks a backend server about an attempt over a new connection. Takes at most
 // about `timeout`.
-ProbeResult ProbeAttempt(const net::Address& address,
+ProbeResult ProbeAttempt(net::Fiber& fiber,
+                         const net::Address& address,
                          const base::AttemptId& attempt,
                          std::chrono::milliseconds timeout);
 
 // Cancels an attempt; answers like a probe.
-ProbeResult CancelAttempt(const net::Address& address,
+ProbeResult CancelAttempt(net::Fiber& fiber,
+                          const net::Address& address,
                           const base::AttemptId& attempt,
                           std::chrono::milliseconds timeout);
 
--- a/src/dandelionmill/backend/stream_reader.cc
+++ b/src/dandelionmill/backend/stream_reader.cc
@@ -1,145 +1,144 @@
 #include "dandelionmill/backend/stream_reader.h"
 
-#include <httplib.h>
-
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace dandelionmill::backend {
 namespace {
 
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
 constexpr int kOk = 200;
 constexpr std::size_t kMaxErrorBody = 64 << 10;  // bytes kept of an error
-
-httplib::Request MakeRequest(const HttpCall& call) {
-  httplib::Request request;
-  request.method = call.method;
-  request.path = call.path;
-  for (const auto& [name, value] : call.headers)
-    request.headers.emplace(name, value);
-  request.body = call.body;
-  return request;
-}
+constexpr std::size_t kReadBytes = 16 << 10;
 
 }  // namespace
 
+// The connection with what it has brought; shared by the fiber that reads and
+// the one that consumes.
 class StreamReader::Connection {
  public:
-  explicit Connection(const Options& options)
-      : client(options.address.host, options.address.port) {
-    client.set_tcp_nodelay(true);
-    client.set_keep_alive(false);
-    client.set_connection_timeout(options.connect_timeout);
-    client.set_read_timeout(options.read_timeout);
-    client.set_write_timeout(options.connect_timeout);
-  }
+  Connection(boost::asio::io_context& loop, Options options)
+      : options_(std::move(options)), stream_(loop), changed_(loop) {}
 
-  httplib::Client client;
-};
+  void Run(net::Fiber& fiber) {
+    ReadEnd end = Read(fiber);
+    end_ = std::move(end);
+    changed_.Notify();
+  }
 
-StreamReader::StreamReader(Options options)
-    : options_(std::move(options)),
-      connection_(std::make_unique<Connection>(options_)),
-      thread_([this] { Run(); }) {}
+  void Cancel() {
+    is_cancelled_ = true;
+    stream_.close();
+  }
 
-StreamReader::~StreamReader() {
-  cancelled_ = true;
-  connection_->client.stop();
-  thread_.join();
-}
+  bool HasNews() const { return !events_.empty() || end_.has_value(); }
 
-StreamReader::Batch StreamReader::Take(base::MonoTime until,
-                                       const Handler& handler) {
-  Batch batch;
-  std::unique_lock<std::mutex> lock(mutex_);
-  const bool delegates = handler && events_.empty() && !end_;
-  if (delegates)
-    handler_ = &handler;
-  changed_.wait_until(lock, until, [&] {
-    return !handling_ && (!events_.empty() || end_.has_value() ||
-                          (delegates && handler_ == nullptr));
-  });
-  handler_ = nullptr;
-  changed_.wait(lock, [this] { return !handling_; });
-  batch.events.swap(events_);
-  batch.end = end_;
-  return batch;
-}
+  bool WaitForNews(net::Fiber& consumer, base::MonoTime until) {
+    while (!HasNews() && changed_.WaitUntil(consumer, until))
+      continue;
+    return HasNews();
+  }
 
-bool StreamReader::Wait(base::MonoTime until) {
-  std::unique_lock<std::mutex> lock(mutex_);
-  return changed_.wait_until(
-      lock, until, [this] { return !events_.empty() || end_.has_value(); });
-}
+  Batch Take() { return {std::exchange(events_, {}), end_}; }
 
-void StreamReader::Run() {
-  httplib::Request request = MakeRequest(options_.call);
-  int status = 0;
-  std::string error_body;
-  bool malformed = false;
-  request.response_handler = [&](const httplib::Response& response) {
-    status = response.status;
-    return !cancelled_.load();
-  };
-  request.content_receiver = [&](const char* bytes, std::size_t size,
-                                 std::uint64_t, std::uint64_t) {
-    if (status != kOk) {
-      if (error_body.size() < kMaxErrorBody)
-        error_body.append(bytes, size);
-      return !cancelled_.load();
+ private:
+  ReadEnd Read(net::Fiber& fiber) {
+    ReadEnd end;
+    if (net::Connect(fiber, options_.address, options_.connect_timeout,
+                     stream_)) {
+      end.kind = ReadEnd::Kind::kNotConnected;
+      return end;
+    }
+    error_code error;
+    const auto message = net::ToMessage(options_.address, options_.call);
+    stream_.expires_after(options_.connect_timeout);
+    if (!is_cancelled_)
+      http::async_write(stream_, message, fiber.yield()[error]);
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    std::string error_body;
+    while (!error && !is_cancelled_ && !parser.is_done()) {
+      std::array<char, kReadBytes> bytes;
+      parser.get().body().data = bytes.data();
+      parser.get().body().size = bytes.size();
+      stream_.expires_after(options_.read_timeout);
+      http::async_read_some(stream_, buffer_, parser, fiber.yield()[error]);
+      if (error == http::error::need_buffer)
+        error = {};
+      const std::string_view read(bytes.data(),
+                                  bytes.size() - parser.get().body().size);
+      if (!parser.is_header_done() || read.empty())
+        continue;
+      end.status = static_cast<int>(parser.get().result_int());
+      if (end.status != kOk) {
+        if (error_body.size() < kMaxErrorBody)
+          error_body.append(read);
+      } else if (!Receive(read)) {
+        return end;
+      }
     }
-    malformed = !Receive(bytes, size);
-    return !malformed && !cancelled_.load();
-  };
-  httplib::Response response;
-  httplib::Error error = httplib::Error::Success;
-  const bool sent = connection_->client.send(request, response, error);
-  ReadEnd end;
-  end.status = status;
-  if (error == httplib::Error::Connection ||
-      error == httplib::Error::ConnectionTimeout) {
-    end.kind = ReadEnd::Kind::kNotConnected;
-  } else if (sent && status != kOk) {
-    end.kind = ReadEnd::Kind::kStatus;
+    if (!parser.is_done())
+      return end;
+    end.status = static_cast<int>(parser.get().result_int());
+    end.kind =
+        end.status == kOk ? ReadEnd::Kind::kFinished : ReadEnd::Kind::kStatus;
     end.body = std::move(error_body);
-  } else if (sent && !malformed) {
-    end.kind = ReadEnd::Kind::kFinished;
+    return end;
+  }
+
+  // Returns false when the stream is malformed.
+  bool Receive(std::string_view bytes) {
+    std::vector<SseEvent> events;
+    const bool usable = parser_.Feed(bytes, events);
+    if (!events.empty()) {
+      std::move(events.begin(), events.end(), std::back_inserter(events_));
+      changed_.Notify();
+    }
+    return usable;
   }
-  Finish(std::move(end));
+
+  const Options options_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  SseParser parser_;
+  bool is_cancelled_ = false;
+  std::vector<SseEvent> events_;
+  std::optional<ReadEnd> end_;
+  net::Signal changed_;
+};
+
+StreamReader::StreamReader(net::Fiber& consumer, Options options)
+    : consumer_(consumer),
+      connection_(
+          std::make_shared<Connection>(consumer.loop(), std::move(options))) {
+  net::StartFiber(consumer.loop(),
+                  [connection = connection_](net::Fiber& fiber) {
+                    connection->Run(fiber);
+                  });
 }
 
-bool StreamReader::Receive(const char* bytes, std::size_t size) {
-  std::vector<SseEvent> events;
-  const bool usable = parser_.Feed({bytes, size}, events);
-  if (!events.empty())
-    Pass(std::move(events));
-  return usable;
+StreamReader::~StreamReader() {
+  connection_->Cancel();
 }
 
-void StreamReader::Pass(std::vector<SseEvent> events) {
-  std::unique_lock<std::mutex> lock(mutex_);
-  if (handler_ == nullptr) {
-    std::move(events.begin(), events.end(), std::back_inserter(events_));
-    changed_.notify_one();
-    return;
-  }
-  const Handler& handler = *handler_;
-  handling_ = true;
-  lock.unlock();
-  const bool goes_on = handler(std::move(events));
-  lock.lock();
-  handling_ = false;
-  // The consumer may have stopped waiting in the meantime.
-  const bool waits = handler_ != nullptr;
-  if (!goes_on)
-    handler_ = nullptr;
-  if (!goes_on || !waits)
-    changed_.notify_one();
+StreamReader::Batch StreamReader::Take(base::MonoTime until) {
+  connection_->WaitForNews(consumer_, until);
+  return connection_->Take();
 }
 
-void StreamReader::Finish(ReadEnd end) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  end_ = std::move(end);
-  changed_.notify_one();
+bool StreamReader::Wait(base::MonoTime until) {
+  return connection_->WaitForNews(consumer_, until);
 }
 
 }  // namespace dandelionmill::backend
--- a/src/dandelionmill/net/http_server.cc
+++ b/src/dandelionmill/net/http_server.cc
@@ -14,18 +14,11 @@
 // The library listens with a queue of 5, too few for a burst of callers.
 constexpr int kAcceptQueue = 1024;
 
-std::unique_ptr<httplib::Server> MakeServer(
-    const HttpServer::Options& options) {
-  if (options.certificate_file.empty())
-    return std::make_unique<httplib::Server>();
-  return std::make_unique<httplib::SSLServer>(options.certificate_file.c_str(),
-                                              options.key_file.c_str());
-}
-
 }  // namespace
 
 HttpServer::HttpServer(Options options)
-    : options_(std::move(options)), server_(MakeServer(options_)) {
+    : options_(std::move(options)),
+      server_(std::make_unique<httplib::Server>()) {
   const int threads = options_.max_connections;
   server_->new_task_queue = [threads] {
     return new internal::ElasticThreadPool(threads);
@@ -45,10 +38,6 @@
 }
 
 base::Status HttpServer::Start() {
-  if (!server_->is_valid())
-    return base::Error{base::Code::kBadSetting,
-                       "certificate \"" + options_.certificate_file +
-                           "\" or its key cannot be read"};
   int listener = -1;
   server_->set_socket_options([&listener](socket_t socket) {
     const int on = 1;
--- a/src/dandelionmill/net/http_server.h
+++ b/src/dandelionmill/net/http_server.h
@@ -29,9 +29,6 @@
     std::chrono::milliseconds io_timeout{5000};
     // How long an idle connection is kept open.
     std::chrono::milliseconds keep_alive{5000};
-    // PEM files; both empty for plain HTTP.
-    std::string certificate_file;
-    std::string key_file;
   };
 
   explicit HttpServer(Options options);
@@ -43,7 +40,7 @@
   httplib::Server& routes() { return *server_; }
 
   // Binds and begins to serve. Fails with kBadSetting when the address cannot
-  // be bound or the certificate cannot be read.
+  // be bound.
   base::Status Start();
 
   // Stops accepting, waits for running handlers and ends the thread.
--- /dev/null
+++ b/src/dandelionmill/net/internal/http_connection.cc
@@ -0,0 +1,289 @@
+#include "dandelionmill/net/internal/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/coroutine/exceptions.hpp>
+#include <exception>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "dandelionmill/base/overloaded.h"
+#include "dandelionmill/log/event.h"
+
+namespace dandelionmill::net::internal {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr int kBadRequest = 400;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kFieldsTooLarge = 431;
+constexpr int kFailed = 500;
+constexpr int kOver = -1;
+
+constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
+constexpr std::size_t kReadBytes = 16 << 10;
+// Bytes of an answer that a caller must accept within one time-out.
+constexpr std::size_t kWriteBytes = 64 << 10;
+// How long the rest of a refused request is read, so that closing does not
+// discard the answer on its way.
+constexpr milliseconds kLinger{1000};
+
+int StatusOf(const error_code& error) {
+  if (error == http::error::body_limit)
+    return kPayloadTooLarge;
+  if (error == http::error::header_limit)
+    return kFieldsTooLarge;
+  // Errors of the transport leave nobody to answer.
+  return error.category() == http::make_error_code(http::error::bad_method)
+                                 .category() &&
+                 error != http::error::end_of_stream &&
+                 error != http::error::partial_message
+             ? kBadRequest
+             : kOver;
+}
+
+HttpRequest ToRequest(
+    http::request_parser<http::string_body>::value_type message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.path = DecodePercent(
+      std::string_view(request.target).substr(0, request.target.find('?')));
+  for (const auto& field : message)
+    request.fields.Add(std::string(field.name_string()),
+                       std::string(field.value()));
+  request.body = std::move(message.body());
+  return request;
+}
+
+std::string HeadOf(const HttpResponse& response, bool keeps) {
+  const auto reason =
+      http::obsolete_reason(static_cast<http::status>(response.status));
+  std::string head = "HTTP/1.1 " + std::to_string(response.status) + " " +
+                     std::string(reason) + "\r\n";
+  const auto add = [&head](std::string_view name, std::string_view value) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  };
+  for (const auto& [name, value] : response.fields)
+    add(name, value);
+  if (!response.content_type.empty())
+    add("Content-Type", response.content_type);
+  if (response.write_body)
+    add("Transfer-Encoding", "chunked");
+  else
+    add("Content-Length", std::to_string(response.body.size()));
+  add("Connection", keeps ? "keep-alive" : "close");
+  return head + "\r\n";
+}
+
+// Calls `run`; returns false if it threw. A fiber must not wait while an
+// exception is being handled, so that handlers run outside of this catch.
+template <class Run>
+bool Survives(const HttpRequest& request, const Run& run) {
+  try {
+    run();
+    return true;
+  } catch (const boost::coroutines::detail::forced_unwind&) {
+    // The loop is being destroyed.
+    throw;
+  } catch (const std::exception& exception) {
+    log::Event(log::Level::kError, "handler_failed")
+        .With("path", request.path)
+        .With("problem", exception.what());
+    return false;
+  }
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(Fiber& fiber,
+                               asio::ip::tcp::socket socket,
+                               asio::ssl::context* encryption,
+                               const AsyncHttpServer::Options& options)
+    : fiber_(fiber),
+      options_(options),
+      stream_(
+          encryption == nullptr
+              ? std::variant<Plain, Encrypted>(std::in_place_type<Plain>,
+                                               std::move(socket))
+              : std::variant<Plain, Encrypted>(std::in_place_type<Encrypted>,
+                                               Plain(std::move(socket)),
+                                               *encryption)) {
+  error_code ignored;
+  tcp().socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+beast::tcp_stream& HttpConnection::tcp() {
+  return std::visit(
+      base::Overloaded{[](Plain& plain) -> Plain& { return plain; },
+                       [](Encrypted& encrypted) -> Plain& {
+                         return encrypted.next_layer();
+                       }},
+      stream_);
+}
+
+bool HttpConnection::Handshake() {
+  auto* encrypted = std::get_if<Encrypted>(&stream_);
+  if (encrypted == nullptr)
+    return true;
+  error_code error;
+  tcp().expires_after(options_.io_timeout);
+  encrypted->async_handshake(asio::ssl::stream_base::server,
+                             fiber_.yield()[error]);
+  return !error;
+}
+
+void HttpConnection::Serve(const AsyncHttpServer::Handler& handler,
+                           const AsyncHttpServer::Refuser& refuser,
+                           const bool& is_stopping) {
+  if (!Handshake())
+    return;
+  while (!is_stopping) {
+    Parser parser;
+    parser.header_limit(kMaxHeaderBytes);
+    parser.body_limit(options_.max_body);
+    const int refused = ReadRequest(parser);
+    if (refused == kOver)
+      return;
+    HttpResponse response;
+    if (refused != 0) {
+      response.status = refused;
+      refuser(response);
+      Answer(response, false);
+      CloseAfterAnswer();
+      return;
+    }
+    const bool wants_more = parser.get().keep_alive();
+    const HttpRequest request = ToRequest(parser.release());
+    if (!Survives(request, [&] { handler(fiber_, request, response); })) {
+      response = HttpResponse();
+      response.status = kFailed;
+      refuser(response);
+    }
+    const bool keeps =
+        wants_more && !response.closes_connection && !is_stopping;
+    bool is_answered = false;
+    const bool survives =
+        Survives(request, [&] { is_answered = Answer(response, keeps); });
+    if (!survives || !is_answered)
+      return;
+    if (!keeps) {
+      CloseAfterAnswer();
+      return;
+    }
+  }
+}
+
+void HttpConnection::CloseIfIdle() {
+  if (is_idle_)
+    tcp().close();
+}
+
+int HttpConnection::ReadRequest(Parser& parser) {
+  if (!WaitForRequest())
+    return kOver;
+  error_code error;
+  while (!parser.is_done()) {
+    const bool had_head = parser.is_header_done();
+    tcp().expires_after(options_.io_timeout);
+    std::visit(
+        [&](auto& stream) {
+          http::async_read_some(stream, buffer_, parser, fiber_.yield()[error]);
+        },
+        stream_);
+    if (error)
+      return StatusOf(error);
+    const bool waits_for_leave =
+        !had_head && parser.is_header_done() && !parser.is_done() &&
+        beast::iequals(parser.get()[http::field::expect], "100-continue");
+    if (waits_for_leave && !WriteBytes("HTTP/1.1 100 Continue\r\n\r\n"))
+      return kOver;
+  }
+  return 0;
+}
+
+bool HttpConnection::WaitForRequest() {
+  if (buffer_.size() > 0)
+    return true;
+  is_idle_ = true;
+  error_code error;
+  std::size_t count = 0;
+  tcp().expires_after(options_.keep_alive);
+  std::visit(
+      [&](auto& stream) {
+        count = stream.async_read_some(buffer_.prepare(kReadBytes),
+                                       fiber_.yield()[error]);
+      },
+      stream_);
+  is_idle_ = false;
+  buffer_.commit(count);
+  return !error;
+}
+
+bool HttpConnection::Answer(HttpResponse& response, bool keeps) {
+  const std::string head = HeadOf(response, keeps);
+  if (!response.write_body)
+    return WriteBytes(head + response.body);
+  // A body whose caller has left learns of it when it writes.
+  const bool has_head = WriteBytes(head);
+  const bool is_complete = response.write_body(fiber_, *this);
+  return has_head && is_complete && WriteBytes("0\r\n\r\n");
+}
+
+bool HttpConnection::Write(std::string_view bytes) {
+  if (bytes.empty())
+    return true;
+  std::ostringstream size;
+  size << std::hex << bytes.size() << "\r\n";
+  return WriteBytes(size.str().append(bytes).append("\r\n"));
+}
+
+bool HttpConnection::IsCallerThere() {
+  char byte = 0;
+  const ssize_t count =
+      ::recv(tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count > 0 || (count < 0 && (errno == EAGAIN || errno == EINTR));
+}
+
+bool HttpConnection::WriteBytes(std::string_view bytes) {
+  error_code error;
+  while (!bytes.empty() && !error) {
+    const std::string_view part = bytes.substr(0, kWriteBytes);
+    tcp().expires_after(options_.io_timeout);
+    std::visit(
+        [&](auto& stream) {
+          asio::async_write(stream, asio::buffer(part.data(), part.size()),
+                            fiber_.yield()[error]);
+        },
+        stream_);
+    bytes.remove_prefix(part.size());
+  }
+  return !error;
+}
+
+void HttpConnection::CloseAfterAnswer() {
+  error_code error;
+  if (auto* encrypted = std::get_if<Encrypted>(&stream_)) {
+    tcp().expires_after(kLinger);
+    encrypted->async_shutdown(fiber_.yield()[error]);
+  }
+  tcp().socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  tcp().expires_after(kLinger);
+  std::array<char, 4096> discarded;
+  while (!error)
+    tcp().async_read_some(asio::buffer(discarded), fiber_.yield()[error]);
+}
+
+}  // namespace dandelionmill::net::internal
--- /dev/null
+++ b/src/dandelionmill/net/loop_thread.h
@@ -0,0 +1,35 @@
+#ifndef SRC_DANDELIONMILL_NET_LOOP_THREAD_H_
+#define SRC_DANDELIONMILL_NET_LOOP_THREAD_H_
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <thread>
+
+namespace dandelionmill::net {
+
+// An event loop on a thread of its own, until it is destroyed.
+class LoopThread {
+ public:
+  LoopThread()
+      : loop_(1),
+        work_(loop_.get_executor()),
+        thread_([this] { loop_.run(); }) {}
+  ~LoopThread() {
+    loop_.stop();
+    thread_.join();
+  }
+  LoopThread(const LoopThread&) = delete;
+  LoopThread& operator=(const LoopThread&) = delete;
+
+  boost::asio::io_context& loop() { return loop_; }
+
+ private:
+  boost::asio::io_context loop_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  std::thread thread_;
+};
+
+}  // namespace dandelionmill::net
+
+#endif  // SRC_DANDELIONMILL_NET_LOOP_THREAD_H_
--- a/src/dandelionmill/router/caller_answer.cc
+++ b/src/dandelionmill/router/caller_answer.cc
@@ -1,7 +1,5 @@
 #include "dandelionmill/router/caller_answer.h"
 
-#include <httplib.h>
-
 #include <utility>
 
 #include "dandelionmill/base/digest.h"
@@ -14,28 +12,28 @@
 
 constexpr milliseconds kRetryElsewhere{1000};
 
-CallerHeaders ReadHeaders(const httplib::Request& request) {
+CallerHeaders ReadHeaders(const net::HttpRequest& request) {
   CallerHeaders headers;
-  headers.authorization = request.get_header_value("Authorization");
-  headers.budget = request.get_header_value("X-Budget");
-  headers.idempotency_key = request.get_header_value("Idempotency-Key");
-  headers.deadline_ms = request.get_header_value("X-Deadline-Ms");
-  headers.idempotent = request.get_header_value("X-Idempotent");
-  headers.priority = request.get_header_value("X-Priority");
+  headers.authorization = request.fields.Get("Authorization");
+  headers.budget = request.fields.Get("X-Budget");
+  headers.idempotency_key = request.fields.Get("Idempotency-Key");
+  headers.deadline_ms = request.fields.Get("X-Deadline-Ms");
+  headers.idempotent = request.fields.Get("X-Idempotent");
+  headers.priority = request.fields.Get("X-Priority");
   return headers;
 }
 
 }  // namespace
 
 std::optional<Admitted> Admit(const Traffic& traffic,
-                              const httplib::Request& request,
-                              httplib::Response& response) {
+                              const net::HttpRequest& request,
+                              net::HttpResponse& response) {
   Admitted admitted;
   admitted.config = traffic.config();
   Problem problem{{Code::kNoConfig, ""}, base::Ran::kNo, kRetryElsewhere};
   if (traffic.refuses_new()) {
     problem.error.code = Code::kLeaving;
-    response.set_header("Connection", "close");
+    response.closes_connection = true;
   } else if (admitted.config) {
     auto terms = ReadTerms(ReadHeaders(request), *admitted.config);
     if (base::IsOk(terms)) {
@@ -53,7 +51,7 @@
 RequestInfo MakeInfo(Traffic& traffic,
                      const Admitted& admitted,
                      const inventory::Service& service,
-                     const httplib::Request& request,
+                     const net::HttpRequest& request,
                      const std::string& content) {
   const CallerTerms& terms = admitted.terms;
   RequestInfo info;
@@ -78,20 +76,21 @@
 
 void AnswerProblem(const Problem& problem,
                    const base::RequestKey& key,
-                   httplib::Response& response) {
+                   net::HttpResponse& response) {
   response.status = base::InfoOf(problem.error.code).http_status;
   SetAnswerHeaders(key, problem.ran, response);
   if (const int seconds = RetryAfterSeconds(problem); seconds > 0)
-    response.set_header("Retry-After", std::to_string(seconds));
-  response.set_content(ToJson(problem, key), "application/problem+json");
+    response.fields.Add("Retry-After", std::to_string(seconds));
+  response.content_type = "application/problem+json";
+  response.body = ToJson(problem, key);
 }
 
 void SetAnswerHeaders(const base::RequestKey& key,
                       base::Ran ran,
-                      httplib::Response& response) {
+                      net::HttpResponse& response) {
   if (!key.empty())
-    response.set_header("Idempotency-Key", key.value());
-  response.set_header("X-Request-Ran", base::ToString(ran));
+    response.fields.Add("Idempotency-Key", key.value());
+  response.fields.Add("X-Request-Ran", base::ToString(ran));
 }
 
 }  // namespace dandelionmill::router
--- a/src/dandelionmill/router/caller_answer.h
+++ b/src/dandelionmill/router/caller_answer.h
@@ -5,16 +5,12 @@
 #include <variant>
 
 #include "dandelionmill/base/ids.h"
+#include "dandelionmill/net/http_message.h"
 #include "dandelionmill/router/caller_request.h"
 #include "dandelionmill/router/problem.h"
 #include "dandelionmill/router/request_events.h"
 #include "dandelionmill/router/traffic.h"
 
-namespace httplib {
-struct Request;
-struct Response;
-}  // namespace httplib
-
 namespace dandelionmill::router {
 
 // What every kind of request begins with: who calls, on which terms, under
@@ -27,26 +23,26 @@
 // Checks that this router serves, and the caller's headers. Where it does not,
 // answers the problem and returns nothing.
 std::optional<Admitted> Admit(const Traffic& traffic,
-                              const httplib::Request& request,
-                              httplib::Response& response);
+                              const net::HttpRequest& request,
+                              net::HttpResponse& response);
 
 // Fills in what all kinds of requests share. `content` is what a retry with the
 // same key must repeat.
 RequestInfo MakeInfo(Traffic& traffic,
                      const Admitted& admitted,
                      const inventory::Service& service,
-                     const httplib::Request& request,
+                     const net::HttpRequest& request,
                      const std::string& content);
 
 // Answers with application/problem+json.
 void AnswerProblem(const Problem& problem,
                    const base::RequestKey& key,
-                   httplib::Response& response);
+                   net::HttpResponse& response);
 
 // Sets the headers that every answer carries.
 void SetAnswerHeaders(const base::RequestKey& key,
                       base::Ran ran,
-                      httplib::Response& response);
+                      net::HttpResponse& response);
 
 }  // namespace dandelionmill::router
 
--- a/src/dandelionmill/router/caller_stream.cc
+++ b/src/dandelionmill/router/caller_stream.cc
@@ -1,7 +1,5 @@
 #include "dandelionmill/router/caller_stream.h"
 
-#include <httplib.h>
-
 #include <utility>
 
 #include "dandelionmill/base/overloaded.h"
@@ -37,39 +35,44 @@
                            AnswerStep first)
     : traffic_(traffic),
       exchange_(std::move(exchange)),
-      next_(std::move(first)) {}
+      first_(std::move(first)) {}
 
-bool CallerStream::Write(httplib::DataSink& sink) {
-  if (std::holds_alternative<NothingYet>(next_)) {
-    next_ = exchange_->Next(steady_clock::now() + kLookPeriod,
-                            [&](const AnswerChunks& chunks) {
-                              is_open_ = WriteChunks(chunks, sink);
-                              return is_open_;
-                            });
-  }
-  if (!is_open_)
-    return false;
-  const AnswerStep step = std::exchange(next_, NothingYet{});
+bool CallerStream::Run(net::BodyWriter& writer) {
+  bool goes_on = WriteStep(first_, writer);
+  while (goes_on)
+    goes_on =
+        WriteStep(exchange_->Next(steady_clock::now() + kLookPeriod), writer);
+  if (!ended_)
+    exchange_->Abandon();
+  return ended_;
+}
+
+bool CallerStream::WriteStep(const AnswerStep& step, net::BodyWriter& writer) {
   return std::visit(
       base::Overloaded{
-          [&](const NothingYet&) { return sink.is_writable(); },
-          [&](const AnswerChunks& chunks) { return WriteChunks(chunks, sink); },
+          [&](const NothingYet&) { return writer.IsCallerThere(); },
+          [&](const AnswerChunks& chunks) {
+            return WriteChunks(chunks, writer);
+          },
           [&](const AnswerComplete&) {
-            return WriteEnd("data: [DONE]\n\n", sink);
+            WriteEnd("data: [DONE]\n\n", writer);
+            return false;
           },
           [&](const AnswerFailed& failed) {
-            return WriteProblem(failed.problem, sink);
+            WriteProblem(failed.problem, writer);
+            return false;
           },
           [&](const BackendError& error) {
-            return WriteProblem(
+            WriteProblem(
                 {{base::Code::kAnswerIncomplete, error.body}, base::Ran::kYes},
-                sink);
+                writer);
+            return false;
           }},
       step);
 }
 
 bool CallerStream::WriteChunks(const AnswerChunks& chunks,
-                               httplib::DataSink& sink) {
+                               net::BodyWriter& writer) {
   buffer_.clear();
   for (const std::string& chunk : chunks.chunks) {
     buffer_ += "id: ";
@@ -85,29 +88,19 @@
   wrote_at_ = now;
   metrics.events_relayed.Add(static_cast<std::int64_t>(chunks.chunks.size()));
   metrics.bytes_relayed.Add(static_cast<std::int64_t>(buffer_.size()));
-  return sink.write(buffer_.data(), buffer_.size());
+  return writer.Write(buffer_);
 }
 
-bool CallerStream::WriteProblem(const Problem& problem,
-                                httplib::DataSink& sink) {
+void CallerStream::WriteProblem(const Problem& problem,
+                                net::BodyWriter& writer) {
   traffic_.metrics().CountRefusal(problem.error.code);
-  return WriteEnd(
+  WriteEnd(
       "event: error\ndata: " + ToJson(problem, exchange_->info().key) + "\n\n",
-      sink);
-}
-
-bool CallerStream::WriteEnd(const std::string& event, httplib::DataSink& sink) {
-  ended_ = true;
-  if (!sink.write(event.data(), event.size()))
-    return false;
-  sink.done();
-  return true;
+      writer);
 }
 
-void CallerStream::Close() {
-  if (!ended_)
-    exchange_->Abandon();
-  ended_ = true;
+void CallerStream::WriteEnd(const std::string& event, net::BodyWriter& writer) {
+  ended_ = writer.Write(event);
 }
 
 }  // namespace dandelionmill::router
--- a/src/dandelionmill/router/caller_stream.h
+++ b/src/dandelionmill/router/caller_stream.h
@@ -3,13 +3,10 @@
 
 #include <memory>
 
+#include "dandelionmill/net/http_message.h"
 #include "dandelionmill/router/model_exchange.h"
 #include "dandelionmill/router/traffic.h"
 
-namespace httplib {
-class DataSink;
-}  // namespace httplib
-
 namespace dandelionmill::router {
 
 // Writes the answer of an exchange to its caller as server-sent events. Events
@@ -21,25 +18,24 @@
                std::shared_ptr<ModelExchange> exchange,
                AnswerStep first);
 
-  // Writes the next part. Returns false when the caller is gone.
-  bool Write(httplib::DataSink& sink);
-
-  // The connection is over, in order or not.
-  void Close();
+  // Writes the answer to its end, or until the caller is gone; then sees to the
+  // request's end. Returns whether the answer has its end.
+  bool Run(net::BodyWriter& writer);
 
  private:
-  bool WriteChunks(const AnswerChunks& chunks, httplib::DataSink& sink);
-  bool WriteProblem(const Problem& problem, httplib::DataSink& sink);
-  bool WriteEnd(const std::string& event, httplib::DataSink& sink);
+  // Writes one part. Returns whether there is more to write.
+  bool WriteStep(const AnswerStep& step, net::BodyWriter& writer);
+  bool WriteChunks(const AnswerChunks& chunks, net::BodyWriter& writer);
+  void WriteProblem(const Problem& problem, net::BodyWriter& writer);
+  void WriteEnd(const std::string& event, net::BodyWriter& writer);
 
   Traffic& traffic_;
   const std::shared_ptr<ModelExchange> exchange_;
-  AnswerStep next_;
+  AnswerStep first_;
   std::uint64_t sequence_ = 0;
   std::string buffer_;
   base::MonoTime wrote_at_;
-  // Whether every write succeeded so far.
-  bool is_open_ = true;
+  // Whether the caller has the end of the answer.
   bool ended_ = false;
 };
 
--- a/src/dandelionmill/router/http_front.cc
+++ b/src/dandelionmill/router/http_front.cc
@@ -1,12 +1,13 @@
 #include "dandelionmill/router/http_front.h"
 
-#include <httplib.h>
-
-#include <exception>
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
-#include "dandelionmill/log/event.h"
 #include "dandelionmill/router/caller_answer.h"
 #include "dandelionmill/router/model_handler.h"
 #include "dandelionmill/router/plain_handler.h"
@@ -17,72 +18,77 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kPayloadTooLarge = 413;
-constexpr int kNotFound = 404;
-constexpr const char* kServicePattern = R"(/v1/services/([^/]+)(/.*)?)";
+constexpr int kFailed = 500;
+constexpr std::string_view kServicePrefix = "/v1/services/";
+constexpr std::array<std::string_view, 6> kServiceMethods = {
+    "GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
-// Fills in the answer to what the HTTP library refused by itself.
-void DescribeError(const httplib::Request&, httplib::Response& response) {
-  if (!response.body.empty() || response.has_header("X-Request-Ran"))
-    return;
+// Fills in the answer to what the server refused by itself.
+void DescribeRefusal(net::HttpResponse& response) {
   Problem problem{{base::Code::kMalformedRequest, ""}};
   if (response.status == kPayloadTooLarge)
     problem.error.code = base::Code::kBodyTooLarge;
-  else if (response.status == kNotFound)
-    problem.error = {base::Code::kUnknownService, "there is no such path"};
+  else if (response.status == kFailed)
+    problem = {{base::Code::kInternal, ""}, base::Ran::kMaybe};
   AnswerProblem(problem, base::RequestKey(), response);
 }
 
-// Returns the message of an exception.
-std::string Describe(const std::exception_ptr& thrown) {
-  try {
-    std::rethrow_exception(thrown);
-  } catch (const std::exception& exception) {
-    return exception.what();
-  } catch (...) {
-    return "not a standard exception";
-  }
+// Where a call of a plain service goes.
+struct ServicePath {
+  std::string service;
+  std::string path;
+};
+
+// Returns nothing if the request is no call of a plain service.
+std::optional<ServicePath> ParseServicePath(const net::HttpRequest& request) {
+  if (!boost::algorithm::starts_with(request.path, kServicePrefix) ||
+      std::find(kServiceMethods.begin(), kServiceMethods.end(),
+                request.method) == kServiceMethods.end())
+    return std::nullopt;
+  const std::string below = request.path.substr(kServicePrefix.size());
+  const std::size_t slash = std::min(below.find('/'), below.size());
+  if (slash == 0)
+    return std::nullopt;
+  return ServicePath{below.substr(0, slash), below.substr(slash)};
 }
 
 }  // namespace
 
-HttpFront::HttpFront(net::HttpServer::Options options,
+HttpFront::HttpFront(boost::asio::io_context& loop,
+                     net::AsyncHttpServer::Options options,
                      Traffic& traffic,
                      std::function<bool()> is_healthy)
-    : traffic_(traffic), server_(std::move(options)) {
-  httplib::Server& routes = server_.routes();
-  routes.Get("/healthz", [is_healthy = std::move(is_healthy)](
-                             const httplib::Request&, httplib::Response& res) {
-    res.status = is_healthy() ? kOk : kUnavailable;
-    res.set_content(res.status == kOk ? "ok\n" : "leaving\n", "text/plain");
-  });
-  routes.Post("/v1/chat/completions",
-              [this](const httplib::Request& req, httplib::Response& res) {
-                HandleModelRequest(traffic_, req, true, res);
-              });
-  routes.Post("/v1/completions",
-              [this](const httplib::Request& req, httplib::Response& res) {
-                HandleModelRequest(traffic_, req, false, res);
-              });
-  const auto plain = [this](const httplib::Request& req,
-                            httplib::Response& res) {
-    HandlePlainRequest(traffic_, req, res);
-  };
-  routes.Get(kServicePattern, plain);
-  routes.Post(kServicePattern, plain);
-  routes.Put(kServicePattern, plain);
-  routes.Patch(kServicePattern, plain);
-  routes.Delete(kServicePattern, plain);
-  routes.Options(kServicePattern, plain);
-  routes.set_error_handler(DescribeError);
-  routes.set_exception_handler([](const httplib::Request& request,
-                                  httplib::Response& response,
-                                  std::exception_ptr thrown) {
-    log::Event(log::Level::kError, "handler_failed")
-        .With("path", request.path)
-        .With("problem", Describe(thrown));
-    AnswerProblem({{base::Code::kInternal, ""}, base::Ran::kMaybe},
-                  base::RequestKey(), response);
-  });
+    : traffic_(traffic),
+      is_healthy_(std::move(is_healthy)),
+      server_(
+          loop,
+          std::move(options),
+          [this](net::Fiber& fiber,
+                 const net::HttpRequest& request,
+                 net::HttpResponse& response) {
+            Handle(fiber, request, response);
+          },
+          DescribeRefusal) {}
+
+void HttpFront::Handle(net::Fiber& fiber,
+                       const net::HttpRequest& request,
+                       net::HttpResponse& response) {
+  if (request.method == "GET" && request.path == "/healthz") {
+    response.status = is_healthy_() ? kOk : kUnavailable;
+    response.content_type = "text/plain";
+    response.body = response.status == kOk ? "ok\n" : "leaving\n";
+    return;
+  }
+  const bool chat = request.path == "/v1/chat/completions";
+  if (request.method == "POST" && (chat || request.path == "/v1/completions"))
+    return HandleModelRequest(fiber, traffic_, request, chat, response);
+  if (const auto service = ParseServicePath(request)) {
+    return HandlePlainRequest(fiber, traffic_, request,
+                              base::ServiceId(service->service), service->path,
+                              response);
+  }
+  AnswerProblem({{base::Code::kUnknownService, "there is no such path"}},
+                base::RequestKey(), response);
 }
 
 }  // namespace dandelionmill::router
--- a/src/dandelionmill/router/http_front.h
+++ b/src/dandelionmill/router/http_front.h
@@ -3,7 +3,7 @@
 
 #include <functional>
 
-#include "dandelionmill/net/http_server.h"
+#include "dandelionmill/net/async_http_server.h"
 #include "dandelionmill/router/traffic.h"
 
 namespace dandelionmill::router {
@@ -12,18 +12,24 @@
 // answers 200 while the balancer should send requests here.
 class HttpFront {
  public:
-  HttpFront(net::HttpServer::Options options,
+  HttpFront(boost::asio::io_context& loop,
+            net::AsyncHttpServer::Options options,
             Traffic& traffic,
             std::function<bool()> is_healthy);
 
-  // Errors as net::HttpServer::Start.
+  // Errors as net::AsyncHttpServer::Start.
   base::Status Start() { return server_.Start(); }
   // Stops accepting and waits for requests in progress.
   void Stop() { server_.Stop(); }
 
  private:
+  void Handle(net::Fiber& fiber,
+              const net::HttpRequest& request,
+              net::HttpResponse& response);
+
   Traffic& traffic_;
-  net::HttpServer server_;
+  const std::function<bool()> is_healthy_;
+  net::AsyncHttpServer server_;
 };
 
 }  // namespace dandelionmill::router
--- a/src/dandelionmill/router/mailbox.cc
+++ b/src/dandelionmill/router/mailbox.cc
@@ -5,16 +5,17 @@
 namespace dandelionmill::router {
 
 void Mailbox::Put(Instruction instruction) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  instructions_.push_back(std::move(instruction));
-  size_.fetch_add(1, std::memory_order_release);
-  changed_.notify_one();
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    instructions_.push_back(std::move(instruction));
+    size_.fetch_add(1, std::memory_order_release);
+  }
+  on_mail_();
 }
 
-std::optional<Instruction> Mailbox::Take(base::MonoTime until) {
-  std::unique_lock<std::mutex> lock(mutex_);
-  if (!changed_.wait_until(lock, until,
-                           [this] { return !instructions_.empty(); }))
+std::optional<Instruction> Mailbox::Take() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (instructions_.empty())
     return std::nullopt;
   Instruction instruction = std::move(instructions_.front());
   instructions_.pop_front();
--- a/src/dandelionmill/router/mailbox.h
+++ b/src/dandelionmill/router/mailbox.h
@@ -2,14 +2,14 @@
 #define SRC_DANDELIONMILL_ROUTER_MAILBOX_H_
 
 #include <atomic>
-#include <condition_variable>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <optional>
+#include <utility>
 #include <variant>
 
 #include "dandelionmill/base/ids.h"
-#include "dandelionmill/base/units.h"
 #include "dandelionmill/net/address.h"
 #include "dandelionmill/router/problem.h"
 
@@ -44,21 +44,25 @@
 using Instruction =
     std::variant<RunOn, GiveUp, TakenOver, Shared, CancelDecision>;
 
-// Carries instructions from the router actor to the thread that serves one
+// Carries instructions from the router actor to the fiber that serves one
 // caller. Safe from any thread.
 class Mailbox {
  public:
+  // `on_mail` is called after each Put, on its thread.
+  explicit Mailbox(std::function<void()> on_mail = [] {})
+      : on_mail_(std::move(on_mail)) {}
+
   void Put(Instruction instruction);
 
-  // Returns the next instruction, or nothing at `until`.
-  std::optional<Instruction> Take(base::MonoTime until);
+  // Returns the next instruction, or nothing.
+  std::optional<Instruction> Take();
 
-  // Whether Take would return at once; cheap enough for every event.
+  // Whether Take would return something; cheap enough for every event.
   bool HasMail() const { return size_.load(std::memory_order_acquire) > 0; }
 
  private:
+  const std::function<void()> on_mail_;
   std::mutex mutex_;
-  std::condition_variable changed_;
   std::deque<Instruction> instructions_;
   std::atomic<int> size_{0};
 };
--- a/src/dandelionmill/router/model_exchange.cc
+++ b/src/dandelionmill/router/model_exchange.cc
@@ -22,32 +22,28 @@
 
 }  // namespace
 
-ModelExchange::ModelExchange(Traffic& traffic,
+ModelExchange::ModelExchange(net::Fiber& fiber,
+                             Traffic& traffic,
                              std::shared_ptr<const RequestInfo> info,
                              std::string path,
                              std::string body)
-    : traffic_(traffic),
+    : fiber_(fiber),
+      traffic_(traffic),
       info_(std::move(info)),
       path_(std::move(path)),
       body_(std::move(body)),
-      mailbox_(std::make_shared<Mailbox>()),
+      mailbox_(fiber),
       began_at_(steady_clock::now()) {
-  traffic_.Post(BeginRequest{info_, mailbox_});
+  traffic_.Post(BeginRequest{info_, mailbox_.sender()});
 }
 
-ModelExchange::~ModelExchange() {
-  if (!over_)
-    Abandon();
-}
-
-AnswerStep ModelExchange::Next(base::MonoTime until,
-                               const OnChunks& on_chunks) {
+AnswerStep ModelExchange::Next(base::MonoTime until) {
   const base::MonoTime deadline = info_->request.deadline;
   while (!over_) {
     const base::MonoTime now = steady_clock::now();
     if (!stream_) {
       const auto instruction =
-          mailbox_->Take(std::min(until, deadline + kActorPatience));
+          mailbox_.Take(std::min(until, deadline + kActorPatience));
       if (instruction) {
         if (Maybe step = OnInstruction(*instruction))
           return *std::move(step);
@@ -59,8 +55,8 @@
       }
       return NothingYet{};
     }
-    if (mailbox_->HasMail()) {
-      if (Maybe step = OnInstruction(*mailbox_->Take(now)))
+    if (mailbox_.HasMail()) {
+      if (Maybe step = OnInstruction(*mailbox_.Take(now)))
         return *std::move(step);
       continue;
     }
@@ -69,9 +65,9 @@
       Cancel();
       return Fail(Code::kDeadlineExceeded, heard ? Ran::kYes : Ran::kMaybe, "");
     }
-    AnswerStep step = ReadStream(std::min(until, deadline), on_chunks);
+    AnswerStep step = ReadStream(std::min(until, deadline));
     if (!std::holds_alternative<NothingYet>(step) ||
-        std::exchange(stopped_, false) || steady_clock::now() >= until)
+        steady_clock::now() >= until)
       return step;
   }
   return NothingYet{};
@@ -122,7 +118,7 @@
   options.attempt = run.attempt;
   options.tuning = traffic_.tuning();
   if (!run.attach) {
-    backend::HttpCall call;
+    net::HttpCall call;
     call.method = "POST";
     call.path = path_;
     call.headers = {{"Content-Type", "application/json"},
@@ -138,28 +134,18 @@
   traffic_.metrics().overhead_ms.Record(
       std::chrono::duration<double, std::milli>(steady_clock::now() - began_at_)
           .count());
-  stream_ = std::make_unique<backend::AttemptStream>(std::move(options));
+  stream_ =
+      std::make_unique<backend::AttemptStream>(fiber_, std::move(options));
 }
 
-AnswerStep ModelExchange::ReadStream(base::MonoTime until,
-                                     const OnChunks& on_chunks) {
+AnswerStep ModelExchange::ReadStream(base::MonoTime until) {
   if (pending_end_) {
     const backend::StreamEnd end = *pending_end_;
     return OnStreamEnd(end);
   }
-  bool agrees = true;
-  backend::AttemptStream::OnEvents on_events;
-  if (on_chunks) {
-    on_events = [&](const std::vector<backend::SseEvent>& events) {
-      AnswerChunks fresh;
-      agrees = TakeEvents(events, fresh);
-      stopped_ = !fresh.chunks.empty() && !on_chunks(fresh);
-      return agrees && !stopped_ && !mailbox_->HasMail();
-    };
-  }
-  const backend::AttemptStream::Step step = stream_->Next(until, on_events);
+  const backend::AttemptStream::Step step = stream_->Next(until);
   AnswerChunks chunks;
-  agrees = agrees && TakeEvents(step.events, chunks);
+  const bool agrees = TakeEvents(step.events, chunks);
   if (!agrees) {
     Cancel();
     return Fail(Code::kAnswerIncomplete, Ran::kYes,
@@ -242,8 +228,8 @@
     traffic_.Post(CallerLeft{info_->request.number});
     return;
   }
-  const backend::ProbeResult result =
-      backend::CancelAttempt(run_->address, run_->attempt, kCancelTimeout);
+  const backend::ProbeResult result = backend::CancelAttempt(
+      fiber_, run_->address, run_->attempt, kCancelTimeout);
   if (const auto* record = std::get_if<backend::AttemptRecord>(&result)) {
     const bool completed =
         record->state == backend::AttemptRecord::State::kCompleted;
--- a/src/dandelionmill/router/model_exchange.h
+++ b/src/dandelionmill/router/model_exchange.h
@@ -1,7 +1,6 @@
 #ifndef SRC_DANDELIONMILL_ROUTER_MODEL_EXCHANGE_H_
 #define SRC_DANDELIONMILL_ROUTER_MODEL_EXCHANGE_H_
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,7 +8,9 @@
 #include <vector>
 
 #include "dandelionmill/backend/attempt_stream.h"
+#include "dandelionmill/net/fiber.h"
 #include "dandelionmill/router/answer_prefix.h"
+#include "dandelionmill/router/fiber_mailbox.h"
 #include "dandelionmill/router/request_events.h"
 #include "dandelionmill/router/traffic.h"
 
@@ -43,27 +44,23 @@
                                 AnswerFailed,
                                 BackendError>;
 
-// Serves one model request from the traffic thread: asks the router actor to
-// run it, reads the answer from the backend servers that the actor names, and
-// reports each attempt's end. Blocking; for one thread at a time.
+// Serves one model request in the caller's fiber: asks the router actor to run
+// it, reads the answer from the backend servers that the actor names, and
+// reports each attempt's end. Abandon must be called before it is destroyed
+// unless it is over.
 class ModelExchange {
  public:
-  ModelExchange(Traffic& traffic,
+  ModelExchange(net::Fiber& fiber,
+                Traffic& traffic,
                 std::shared_ptr<const RequestInfo> info,
                 std::string path,
                 std::string body);
-  ~ModelExchange();
   ModelExchange(const ModelExchange&) = delete;
   ModelExchange& operator=(const ModelExchange&) = delete;
 
-  // Takes chunks on whichever thread has them; the caller of Next waits
-  // meanwhile. Returns false to make Next return.
-  using OnChunks = std::function<bool(const AnswerChunks& chunks)>;
-
   // Waits until `until` for the next part. After a part other than
-  // AnswerChunks and NothingYet the exchange is over. With `on_chunks`, most
-  // chunks go to it instead.
-  AnswerStep Next(base::MonoTime until, const OnChunks& on_chunks = nullptr);
+  // AnswerChunks and NothingYet the exchange is over.
+  AnswerStep Next(base::MonoTime until);
 
   // The caller is gone: sees to it that the request is cancelled, or runs on
   // to its end for a retry that may come elsewhere. Returns when it is over.
@@ -76,7 +73,7 @@
 
   Maybe OnInstruction(const Instruction& instruction);
   void Run(const RunOn& run);
-  AnswerStep ReadStream(base::MonoTime until, const OnChunks& on_chunks);
+  AnswerStep ReadStream(base::MonoTime until);
   // Adds to `chunks` what is new to the caller. Returns false when the run
   // differs from what the caller has.
   bool TakeEvents(const std::vector<backend::SseEvent>& events,
@@ -90,11 +87,12 @@
   AnswerStep Fail(base::Code code, base::Ran ran, std::string detail);
   AnswerStep Over(AnswerStep step);
 
+  net::Fiber& fiber_;
   Traffic& traffic_;
   const std::shared_ptr<const RequestInfo> info_;
   const std::string path_;
   const std::string body_;
-  const std::shared_ptr<Mailbox> mailbox_;
+  FiberMailbox mailbox_;
   const base::MonoTime began_at_;
 
   std::optional<RunOn> run_;
@@ -105,8 +103,6 @@
   bool prompt_reported_ = false;
   bool abandoned_ = false;
   bool shared_ = false;
-  // Whether `on_chunks` made Next return.
-  bool stopped_ = false;
   bool over_ = false;
 };
 
--- a/src/dandelionmill/router/model_handler.cc
+++ b/src/dandelionmill/router/model_handler.cc
@@ -1,7 +1,7 @@
 #include "dandelionmill/router/model_handler.h"
 
-#include <httplib.h>
-
+#include <boost/coroutine/exceptions.hpp>
+#include <exception>
 #include <utility>
 
 #include "dandelionmill/base/overloaded.h"
@@ -16,6 +16,7 @@
 using std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds kStep{1000};
+constexpr char kJson[] = "application/json";
 
 bool IsNothing(const AnswerStep& step) {
   return std::holds_alternative<NothingYet>(step);
@@ -32,7 +33,7 @@
 // Answers `step` if it is an error; returns whether it was.
 bool AnsweredError(const AnswerStep& step,
                    const base::RequestKey& key,
-                   httplib::Response& response) {
+                   net::HttpResponse& response) {
   if (const auto* failed = std::get_if<AnswerFailed>(&step)) {
     AnswerProblem(failed->problem, key, response);
     return true;
@@ -40,15 +41,35 @@
   if (const auto* error = std::get_if<BackendError>(&step)) {
     SetAnswerHeaders(key, base::Ran::kNo, response);
     response.status = error->status;
-    response.set_content(error->body, "application/json");
+    response.content_type = kJson;
+    response.body = error->body;
     return true;
   }
   return false;
 }
 
+// Calls `run`; if it throws, ends the exchange before the exception goes on.
+template <class Run>
+void EndIfThrown(ModelExchange& exchange, const Run& run) {
+  std::exception_ptr thrown;
+  try {
+    run();
+  } catch (const boost::coroutines::detail::forced_unwind&) {
+    // The loop is being destroyed: nothing can be waited for.
+    throw;
+  } catch (...) {
+    thrown = std::current_exception();
+  }
+  if (!thrown)
+    return;
+  // Waits, which a fiber must not do while it handles an exception.
+  exchange.Abandon();
+  std::rethrow_exception(thrown);
+}
+
 void AnswerWhole(const std::shared_ptr<ModelExchange>& exchange,
                  bool chat,
-                 httplib::Response& response) {
+                 net::HttpResponse& response) {
   const base::RequestKey& key = exchange->info().key;
   WholeAnswer answer(chat, exchange->info().request.model, key);
   for (;;) {
@@ -61,37 +82,39 @@
       continue;
     }
     SetAnswerHeaders(key, base::Ran::kYes, response);
-    response.set_content(answer.ToJson(std::get<AnswerComplete>(step).usage),
-                         "application/json");
+    response.content_type = kJson;
+    response.body = answer.ToJson(std::get<AnswerComplete>(step).usage);
     return;
   }
 }
 
 void AnswerStream(Traffic& traffic,
                   const std::shared_ptr<ModelExchange>& exchange,
-                  httplib::Response& response) {
+                  net::HttpResponse& response) {
   AnswerStep first = First(*exchange);
   const base::RequestKey& key = exchange->info().key;
   if (AnsweredError(first, key, response))
     return;
   SetAnswerHeaders(key, base::Ran::kYes, response);
-  response.set_header("Cache-Control", "no-store");
+  response.fields.Add("Cache-Control", "no-store");
   auto stream =
       std::make_shared<CallerStream>(traffic, exchange, std::move(first));
-  response.set_chunked_content_provider(
-      "text/event-stream",
-      [stream](std::size_t, httplib::DataSink& sink) {
-        return stream->Write(sink);
-      },
-      [stream](bool) { stream->Close(); });
+  response.content_type = "text/event-stream";
+  response.write_body = [stream, exchange](net::Fiber&,
+                                           net::BodyWriter& writer) {
+    bool is_complete = false;
+    EndIfThrown(*exchange, [&] { is_complete = stream->Run(writer); });
+    return is_complete;
+  };
 }
 
 }  // namespace
 
-void HandleModelRequest(Traffic& traffic,
-                        const httplib::Request& request,
+void HandleModelRequest(net::Fiber& fiber,
+                        Traffic& traffic,
+                        const net::HttpRequest& request,
                         bool chat,
-                        httplib::Response& response) {
+                        net::HttpResponse& response) {
   const auto admitted = Admit(traffic, request, response);
   if (!admitted)
     return;
@@ -113,12 +136,14 @@
   info.prompt_bound = model.prompt_bound;
   info.output_cap = model.output_cap;
   const auto exchange = std::make_shared<ModelExchange>(
-      traffic, std::make_shared<const RequestInfo>(std::move(info)),
+      fiber, traffic, std::make_shared<const RequestInfo>(std::move(info)),
       request.path, std::move(model.body));
-  if (model.stream)
-    AnswerStream(traffic, exchange, response);
-  else
-    AnswerWhole(exchange, chat, response);
+  EndIfThrown(*exchange, [&] {
+    if (model.stream)
+      AnswerStream(traffic, exchange, response);
+    else
+      AnswerWhole(exchange, chat, response);
+  });
 }
 
 }  // namespace dandelionmill::router
--- a/src/dandelionmill/router/model_handler.h
+++ b/src/dandelionmill/router/model_handler.h
@@ -1,21 +1,19 @@
 #ifndef SRC_DANDELIONMILL_ROUTER_MODEL_HANDLER_H_
 #define SRC_DANDELIONMILL_ROUTER_MODEL_HANDLER_H_
 
+#include "dandelionmill/net/fiber.h"
+#include "dandelionmill/net/http_message.h"
 #include "dandelionmill/router/traffic.h"
 
-namespace httplib {
-struct Request;
-struct Response;
-}  // namespace httplib
-
 namespace dandelionmill::router {
 
-// Answers a request to a model, on the caller's thread, as one JSON document or
+// Answers a request to a model, in the caller's fiber, as one JSON document or
 // as a stream of server-sent events. `chat` tells which form the body has.
-void HandleModelRequest(Traffic& traffic,
-                        const httplib::Request& request,
+void HandleModelRequest(net::Fiber& fiber,
+                        Traffic& traffic,
+                        const net::HttpRequest& request,
                         bool chat,
-                        httplib::Response& response);
+                        net::HttpResponse& response);
 
 }  // namespace dandelionmill::router
 
--- a/src/dandelionmill/router/plain_exchange.cc
+++ b/src/dandelionmill/router/plain_exchange.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "dandelionmill/router/fiber_mailbox.h"
+
 namespace dandelionmill::router {
 namespace {
 
@@ -28,7 +30,8 @@
   wire::Outcome outcome = wire::OUTCOME_UNKNOWN;
 };
 
-Verdict Judge(const backend::PlainAnswer& answer,
+Verdict Judge(net::Fiber& fiber,
+              const backend::PlainAnswer& answer,
               const net::Address& address,
               bool idempotent) {
   using Kind = backend::PlainAnswer::Kind;
@@ -47,7 +50,7 @@
     case Kind::kTimedOut:
       return {};
     case Kind::kBroken:
-      if (!backend::AcceptsConnections(address, kProbeTimeout))
+      if (!backend::AcceptsConnections(fiber, address, kProbeTimeout))
         return {Ending::kCrashed, wire::OUTCOME_UNKNOWN};
       return {};
   }
@@ -64,10 +67,10 @@
                   std::max(kShortestTry, remaining / kTriesInDeadline));
 }
 
-backend::HttpCall MakeCall(const RequestInfo& info,
-                           const PlainCall& call,
-                           const base::AttemptId& attempt) {
-  backend::HttpCall http;
+net::HttpCall MakeCall(const RequestInfo& info,
+                       const PlainCall& call,
+                       const base::AttemptId& attempt) {
+  net::HttpCall http;
   http.method = call.method;
   http.path = call.path;
   http.headers = {{"X-Attempt-Id", attempt.value()},
@@ -82,15 +85,16 @@
 }  // namespace
 
 std::variant<PlainResult, Problem> ExchangePlain(
+    net::Fiber& fiber,
     Traffic& traffic,
     const std::shared_ptr<const RequestInfo>& info,
     const PlainCall& call) {
-  const auto mailbox = std::make_shared<Mailbox>();
+  FiberMailbox mailbox(fiber);
   const routing::RequestNumber number = info->request.number;
-  traffic.Post(BeginRequest{info, mailbox});
+  traffic.Post(BeginRequest{info, mailbox.sender()});
   for (;;) {
     const auto instruction =
-        mailbox->Take(info->request.deadline + kActorPatience);
+        mailbox.Take(info->request.deadline + kActorPatience);
     if (!instruction || std::holds_alternative<TakenOver>(*instruction)) {
       traffic.Post(CallerLeft{number});
       return Problem{{Code::kDeadlineExceeded, ""}, Ran::kMaybe};
@@ -101,9 +105,10 @@
     if (run == nullptr)
       continue;
     const backend::PlainAnswer answer = backend::CallPlain(
-        run->address, MakeCall(*info, call, run->attempt), TryTimeout(*info));
+        fiber, run->address, MakeCall(*info, call, run->attempt),
+        TryTimeout(*info));
     const Verdict verdict =
-        Judge(answer, run->address, info->request.idempotent);
+        Judge(fiber, answer, run->address, info->request.idempotent);
     const bool late = verdict.ending == Ending::kBroken &&
                       steady_clock::now() >= info->request.deadline;
     traffic.Post(AttemptEnded{number,
--- a/src/dandelionmill/router/plain_exchange.h
+++ b/src/dandelionmill/router/plain_exchange.h
@@ -28,10 +28,11 @@
   base::Ran ran = base::Ran::kYes;
 };
 
-// Serves one call of a plain service from the traffic thread: asks the router
+// Serves one call of a plain service in the caller's fiber: asks the router
 // actor to run it and sends it to the backend servers that the actor names.
-// Blocks until the call is over. A non-idempotent call is sent at most once.
+// Waits until the call is over. A non-idempotent call is sent at most once.
 std::variant<PlainResult, Problem> ExchangePlain(
+    net::Fiber& fiber,
     Traffic& traffic,
     const std::shared_ptr<const RequestInfo>& info,
     const PlainCall& call);
--- a/src/dandelionmill/router/plain_handler.cc
+++ b/src/dandelionmill/router/plain_handler.cc
@@ -1,7 +1,5 @@
 #include "dandelionmill/router/plain_handler.h"
 
-#include <httplib.h>
-
 #include <utility>
 
 #include "dandelionmill/router/caller_answer.h"
@@ -24,25 +22,28 @@
 
 void Answer(const PlainResult& result,
             const base::RequestKey& key,
-            httplib::Response& response) {
+            net::HttpResponse& response) {
   SetAnswerHeaders(key, result.ran, response);
   response.status = result.answer.status;
-  response.set_content(result.answer.body, result.answer.content_type.empty()
-                                               ? "application/octet-stream"
-                                               : result.answer.content_type);
+  response.body = result.answer.body;
+  response.content_type = result.answer.content_type.empty()
+                              ? "application/octet-stream"
+                              : result.answer.content_type;
 }
 
 }  // namespace
 
-void HandlePlainRequest(Traffic& traffic,
-                        const httplib::Request& request,
-                        httplib::Response& response) {
+void HandlePlainRequest(net::Fiber& fiber,
+                        Traffic& traffic,
+                        const net::HttpRequest& request,
+                        const base::ServiceId& service_id,
+                        const std::string& path,
+                        net::HttpResponse& response) {
   const auto admitted = Admit(traffic, request, response);
   if (!admitted)
     return;
   const base::RequestKey& key = admitted->terms.key;
-  const inventory::Service* service =
-      admitted->config->FindService(base::ServiceId(request.matches[1].str()));
+  const inventory::Service* service = admitted->config->FindService(service_id);
   if (service == nullptr || service->kind != inventory::ServiceKind::kPlain) {
     const Problem problem{
         {Code::kUnknownService, "the inventory names no such plain service"}};
@@ -52,18 +53,19 @@
   PlainCall call;
   call.method = request.method;
   call.path = PathBelowService(request.target);
-  call.content_type = request.get_header_value("Content-Type");
+  call.content_type = request.fields.Get("Content-Type");
   call.body = request.body;
   call.tokens = service->tokens_per_request;
   RequestInfo info =
       MakeInfo(traffic, *admitted, *service, request,
                call.method + "\n" + call.path + "\n" + call.body);
-  if (IsNonIdempotentPath(*service, request.matches[2].str()))
+  if (IsNonIdempotentPath(*service, path))
     info.request.idempotent = false;
   info.request.expected_tokens = call.tokens;
   info.prompt_bound = call.tokens;
-  const auto result = ExchangePlain(
-      traffic, std::make_shared<const RequestInfo>(std::move(info)), call);
+  const auto result =
+      ExchangePlain(fiber, traffic,
+                    std::make_shared<const RequestInfo>(std::move(info)), call);
   if (const auto* problem = std::get_if<Problem>(&result))
     return AnswerProblem(*problem, key, response);
   Answer(std::get<PlainResult>(result), key, response);
--- a/src/dandelionmill/router/plain_handler.h
+++ b/src/dandelionmill/router/plain_handler.h
@@ -1,19 +1,22 @@
 #ifndef SRC_DANDELIONMILL_ROUTER_PLAIN_HANDLER_H_
 #define SRC_DANDELIONMILL_ROUTER_PLAIN_HANDLER_H_
 
-#include "dandelionmill/router/traffic.h"
+#include <string>
 
-namespace httplib {
-struct Request;
-struct Response;
-}  // namespace httplib
+#include "dandelionmill/net/fiber.h"
+#include "dandelionmill/net/http_message.h"
+#include "dandelionmill/router/traffic.h"
 
 namespace dandelionmill::router {
 
-// Answers a call on /v1/services/{service}/{path}, on the caller's thread.
-void HandlePlainRequest(Traffic& traffic,
-                        const httplib::Request& request,
-                        httplib::Response& response);
+// Answers a call on /v1/services/{service}/{path}, in the caller's fiber.
+// `service` and `path`, with its leading slash, are decoded.
+void HandlePlainRequest(net::Fiber& fiber,
+                        Traffic& traffic,
+                        const net::HttpRequest& request,
+                        const base::ServiceId& service,
+                        const std::string& path,
+                        net::HttpResponse& response);
 
 }  // namespace dandelionmill::router
 
--- a/src/dandelionmill/router/request_events.h
+++ b/src/dandelionmill/router/request_events.h
@@ -30,7 +30,7 @@
   inventory::AccountLimits limits;
 };
 
-// What traffic threads tell the router actor.
+// What callers' fibers tell the router actor.
 
 // A caller's request has been checked and wants to run.
 struct BeginRequest {
--- a/src/dandelionmill/router/router.cc
+++ b/src/dandelionmill/router/router.cc
@@ -10,6 +10,7 @@
 #include "dandelionmill/base/digest.h"
 #include "dandelionmill/log/event.h"
 #include "dandelionmill/metrics/registry.h"
+#include "dandelionmill/net/loop_thread.h"
 #include "dandelionmill/router/http_front.h"
 #include "dandelionmill/router/load_poller.h"
 #include "dandelionmill/router/router_actor.h"
@@ -39,8 +40,8 @@
   return controls;
 }
 
-net::HttpServer::Options FrontOptions(const settings::Values& settings) {
-  net::HttpServer::Options options;
+net::AsyncHttpServer::Options FrontOptions(const settings::Values& settings) {
+  net::AsyncHttpServer::Options options;
   options.bind = settings.AddressOf("listen_address");
   options.max_connections =
       static_cast<int>(settings.Integer("max_connections"));
@@ -108,7 +109,8 @@
                   Publish(config);
                 },
                 metrics_))),
-        front_(FrontOptions(settings),
+        front_(loop_.loop(),
+               FrontOptions(settings),
                traffic_,
                [this] { return IsHealthy(); }),
         admin_(
@@ -188,6 +190,8 @@
   const Identity identity_;
   const std::uint64_t seed_;
   const int watched_;
+  // Runs the callers' connections; outlives the actor, which wakes them.
+  net::LoopThread loop_;
   caf::actor_system_config system_config_;
   caf::actor_system system_;
   metrics::Registry registry_;
--- a/src/dandelionmill/router/router_settings.cc
+++ b/src/dandelionmill/router/router_settings.cc
@@ -27,7 +27,7 @@
        "Addresses under which peers are reached, by the address they are "
        "bound to."},
       {"max_connections", IntegerKey{1024, 1, 20000, ""},
-       "Callers' connections served at once; each takes a thread."},
+       "Callers' connections served at once."},
       {"max_body_bytes", IntegerKey{4 << 20, 1024, 256 << 20, "bytes"},
        "A larger request body is refused."},
       {"caller_io_timeout_ms", IntegerKey{5000, 100, 600000, "ms"},
--- a/src/dandelionmill/router/traffic.h
+++ b/src/dandelionmill/router/traffic.h
@@ -12,7 +12,8 @@
 
 namespace dandelionmill::router {
 
-// What the traffic threads of a router share. Safe from any thread.
+// What the callers' fibers of a router share with its actor. Safe from any
+// thread.
 class Traffic {
  public:
   Traffic(PostEvent post,
--- a/tests/unit/net/http_server_test.cc
+++ b/tests/unit/net/http_server_test.cc
@@ -60,12 +60,3 @@
   CHECK(dandelionmill::base::ErrorOf(started).detail ==
         "address 127.0.0.1:19723 cannot be bound; is it in use?");
 }
-
-TEST_CASE("A certificate that cannot be read stops the server", "[net]") {
-  HttpServer::Options options;
-  options.bind = {"127.0.0.1", 19724};
-  options.certificate_file = "/nonexistent.pem";
-  options.key_file = "/nonexistent.key";
-  HttpServer server(options);
-  CHECK_FALSE(IsOk(server.Start()));
-}
--- a/tests/unit/router/router_state_test.cc
+++ b/tests/unit/router/router_state_test.cc
@@ -151,7 +151,7 @@
 
 template <class T>
 std::optional<T> Next(Mailbox& mailbox) {
-  const auto instruction = mailbox.Take(MonoTime());
+  const auto instruction = mailbox.Take();
   if (!instruction || !std::holds_alternative<T>(*instruction))
     return std::nullopt;
   return std::get<T>(*instruction);
