Add a fault soak of real gateways and backend servers

tests/soak/ starts gateways and backend servers as processes, puts a proxy on each link, draws fourteen kinds of fault from a seed and judges twelve promises from what callers and backend servers saw; the judge and the plan have unit tests. The stand-in store can forget its history. docs/soak.md says what is checked and what it excuses.

--- a/standins/platform/rows_server.cc
+++ b/standins/platform/rows_server.cc
@@ -14,7 +14,7 @@
 using dandelionmill::base::EncodeBase64;
 using nlohmann::json;
 
-constexpr int kMaxConnections = 64;
+constexpr int kMaxConnections = 512;
 constexpr char kJson[] = "application/json";
 
 }  // namespace
@@ -79,6 +79,12 @@
   loses_answers_ = lose;
 }
 
+void RowsServer::ForgetHistory() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  history_from_ = ++version_;
+  changed_.notify_all();
+}
+
 json RowsServer::Value(const std::string& table,
                        const std::string& part,
                        const std::string& key) {
@@ -174,6 +180,7 @@
   const std::chrono::milliseconds wait(
       std::stoll(request.get_param_value("waitMs")));
   std::unique_lock<std::mutex> lock(mutex_);
+  const auto is_forgotten = [&] { return after < history_from_; };
   const auto has_news = [&] {
     for (const auto& [key, row] : rows_) {
       if (std::get<0>(key) == table && row.version > after)
@@ -181,8 +188,13 @@
     }
     return false;
   };
-  changed_.wait_for(lock, wait,
-                    [&] { return is_stopping_ || is_down_ || has_news(); });
+  changed_.wait_for(lock, wait, [&] {
+    return is_stopping_ || is_down_ || is_forgotten() || has_news();
+  });
+  if (is_forgotten()) {
+    response.status = 410;
+    return;
+  }
   if (is_down_) {
     response.status = 503;
     return;
--- a/standins/platform/rows_server.h
+++ b/standins/platform/rows_server.h
@@ -34,6 +34,8 @@
   void SetDown(bool down);
   // Performs commits but never answers them.
   void SetLoseAnswers(bool lose);
+  // Feeds that go on from before now get 410.
+  void ForgetHistory();
 
   // Query. Returns the value of a row, or null.
   nlohmann::json Value(const std::string& table,
@@ -59,6 +61,7 @@
   std::condition_variable changed_;
   std::map<Key, Row> rows_;
   std::uint64_t version_ = 0;
+  std::uint64_t history_from_ = 0;
   bool is_down_ = false;
   bool loses_answers_ = false;
   bool is_stopping_ = false;
--- /dev/null
+++ b/tests/soak/caller.cc
@@ -0,0 +1,287 @@
+#include "tests/soak/caller.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cerrno>
+
+namespace soak {
+namespace {
+
+namespace http = boost::beast::http;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kBalancerPeriod{500};
+constexpr int kMissesOut = 2;
+// How long past its limit a caller reads on, to see what comes late.
+constexpr milliseconds kPatience{2500};
+constexpr milliseconds kProbePause{40};
+
+const char* PathOf(Kind kind) {
+  switch (kind) {
+    case Kind::kIdempotent:
+      return "/plain/x";
+    case Kind::kUnsafe:
+      return "/once/x";
+    case Kind::kResumableStream:
+      return "/stream/x";
+    case Kind::kSingleStream:
+      return "/single/x";
+  }
+  return "/plain/x";
+}
+
+bool IsStream(Kind kind) {
+  return kind == Kind::kResumableStream || kind == Kind::kSingleStream;
+}
+
+std::string RequestText(const Ask& ask,
+                        const std::string& key,
+                        const std::string& body) {
+  std::string text =
+      std::string("POST ") + PathOf(ask.kind) +
+      " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: " + ask.id +
+      "\r\nAuthorization: Bearer " + key +
+      "\r\nDeadline-Milliseconds: " + std::to_string(ask.time_limit.count()) +
+      "\r\nContent-Length: " + std::to_string(body.size());
+  if (ask.prompt_tokens > 0) {
+    text +=
+        "\r\nModel: m\r\nToken-Count: " + std::to_string(ask.prompt_tokens) +
+        "," + std::to_string(kEventsOfAnswer * 5) +
+        "\r\nPrompt-Prefix: aa:" + std::to_string(ask.prompt_tokens);
+  }
+  return text + "\r\n\r\n" + body;
+}
+
+// Counts the whole events in a stream's body; -1 if one is out of order.
+std::int64_t CountEvents(const std::string& body) {
+  std::int64_t events = 0;
+  std::size_t at = 0;
+  for (;;) {
+    const std::string next = std::to_string(events + 1);
+    const std::string expected = "id: " + next + "\ndata: e" + next + "\n\n";
+    if (body.compare(at, expected.size(), expected) != 0)
+      break;
+    at += expected.size();
+    ++events;
+  }
+  // What follows may be the beginning of an event only.
+  const std::string rest = body.substr(at);
+  const std::string next = std::to_string(events + 1);
+  const std::string expected = "id: " + next + "\ndata: e" + next + "\n\n";
+  return expected.compare(0, rest.size(), rest) == 0 ? events : -1;
+}
+
+// Waits until the socket can be used; returns false at `until`.
+bool WaitFor(int socket, short events, Time until) {
+  pollfd look{socket, events, 0};
+  const auto left = std::max<std::int64_t>(
+      0, duration_cast<milliseconds>(until - steady_clock::now()).count());
+  return ::poll(&look, 1, static_cast<int>(left)) > 0;
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(int port)
+    : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const int on = 1;
+  ::setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  is_open_ = ::connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                       sizeof(address)) == 0;
+}
+
+CallerConnection::~CallerConnection() {
+  ::close(socket_);
+}
+
+Outcome CallerConnection::Exchange(const Ask& ask,
+                                   const std::string& key,
+                                   const std::string& body,
+                                   Time until) {
+  Outcome outcome;
+  const std::string text = RequestText(ask, key, body);
+  const bool is_sent =
+      is_open_ && ::send(socket_, text.data(), text.size(), MSG_NOSIGNAL) ==
+                      static_cast<ssize_t>(text.size());
+  is_open_ = false;
+  http::response_parser<http::string_body> parser;
+  parser.eager(true);
+  boost::beast::flat_buffer buffer;
+  boost::system::error_code error;
+  while (is_sent && !error && !parser.is_done() &&
+         WaitFor(socket_, POLLIN, until)) {
+    std::array<char, 8192> bytes;
+    const ssize_t count = ::recv(socket_, bytes.data(), bytes.size(), 0);
+    if (count <= 0) {
+      // A parser that has nothing yet would take the end for an answer.
+      if (parser.got_some())
+        parser.put_eof(error);
+      break;
+    }
+    buffer.commit(boost::asio::buffer_copy(
+        buffer.prepare(static_cast<std::size_t>(count)),
+        boost::asio::buffer(bytes, static_cast<std::size_t>(count))));
+    std::size_t used = 0;
+    do {
+      used = parser.put(buffer.data(), error);
+      buffer.consume(used);
+    } while (!error && used > 0 && buffer.size() > 0 && !parser.is_done());
+    if (error == http::error::need_more)
+      error = {};
+  }
+  outcome.ended = steady_clock::now();
+  const auto& answer = parser.get();
+  if (parser.is_header_done())
+    outcome.status = static_cast<int>(answer.result_int());
+  outcome.is_complete = parser.is_done() && !error;
+  outcome.has_receipt = answer.count("Server-Signature") > 0;
+  if (outcome.status == 200 && IsStream(ask.kind)) {
+    outcome.events = CountEvents(answer.body());
+    outcome.is_own_answer = outcome.events == kEventsOfAnswer;
+    // Pieces out of order are wrong even in an answer that is cut.
+    if (outcome.events < 0) {
+      outcome.is_complete = true;
+      outcome.events = 0;
+    }
+  } else if (outcome.status == 200) {
+    outcome.is_own_answer = answer.body() == ask.id + " " + body;
+  }
+  is_open_ = outcome.is_complete && answer.keep_alive();
+  return outcome;
+}
+
+void Log::Add(Exchanged exchanged) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  exchanges_.push_back(std::move(exchanged));
+}
+
+std::vector<Exchanged> Log::Take() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::move(exchanges_);
+}
+
+Balancer::Balancer(Fleet& fleet)
+    : fleet_(fleet),
+      misses_(fleet.options().gateways, kMissesOut),
+      thread_([this] { Run(); }) {}
+
+Balancer::~Balancer() {
+  is_stopping_ = true;
+  thread_.join();
+}
+
+void Balancer::Run() {
+  while (!is_stopping_) {
+    for (int gateway = 0; gateway < fleet_.options().gateways; ++gateway) {
+      const bool ready = fleet_.IsReady(gateway);
+      const std::lock_guard<std::mutex> lock(mutex_);
+      misses_[gateway] = ready ? 0 : misses_[gateway] + 1;
+    }
+    std::this_thread::sleep_for(kBalancerPeriod);
+  }
+}
+
+int Balancer::Choose(std::mt19937& random) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<int> usable;
+  for (std::size_t gateway = 0; gateway < misses_.size(); ++gateway) {
+    if (misses_[gateway] < kMissesOut)
+      usable.push_back(static_cast<int>(gateway));
+  }
+  if (usable.empty())
+    return static_cast<int>(random() % misses_.size());
+  return usable[random() % usable.size()];
+}
+
+void RunCaller(Fleet& fleet,
+               Balancer& balancer,
+               unsigned seed,
+               const std::atomic<bool>& is_stopping,
+               Log& log) {
+  constexpr int kReopenOneIn = 12;
+  constexpr int kSmallOneIn = 4;
+  constexpr int kMaxPauseMs = 60;
+  std::mt19937 random(seed);
+  std::unique_ptr<CallerConnection> connection;
+  int gateway = 0;
+  for (int number = 0; !is_stopping; ++number) {
+    if (!connection || !connection->is_open() || random() % kReopenOneIn == 0) {
+      gateway = balancer.Choose(random);
+      connection =
+          std::make_unique<CallerConnection>(fleet.caller_port(gateway));
+    }
+    Ask ask;
+    ask.id = "c" + std::to_string(seed) + "-" + std::to_string(number);
+    ask.kind = static_cast<Kind>(random() % 4);
+    ask.account = random() % kSmallOneIn == 0 ? kSmallAccount : kLargeAccount;
+    ask.gateway = gateway;
+    ask.boot = fleet.boot(gateway);
+    ask.time_limit = kRouteTimeout;
+    ask.prompt_tokens = IsStream(ask.kind) ? kPromptTokens : 0;
+    ask.sent = steady_clock::now();
+    const std::string body(random() % 2000, 'b');
+    const Outcome outcome =
+        connection->Exchange(ask, KeyOf(ask.account, 0), body,
+                             ask.sent + ask.time_limit + kPatience);
+    log.Add({ask, outcome});
+    std::this_thread::sleep_for(milliseconds(
+        outcome.status == 200 ? random() % kMaxPauseMs : 2 * kMaxPauseMs));
+  }
+}
+
+void RunKeyProber(Fleet& fleet,
+                  const std::atomic<bool>& is_stopping,
+                  Log& log) {
+  for (int number = 0; !is_stopping; ++number) {
+    const int gateway = number / 2 % fleet.options().gateways;
+    const std::vector<Version> versions = fleet.versions();
+    const std::size_t back = number % 2;
+    Ask ask;
+    ask.key_version =
+        versions[versions.size() - 1 - std::min(back, versions.size() - 1)]
+            .number;
+    ask.id = "k-" + std::to_string(number);
+    ask.account = kChangingAccount;
+    ask.gateway = gateway;
+    ask.boot = fleet.boot(gateway);
+    ask.time_limit = kRouteTimeout;
+    CallerConnection connection(fleet.caller_port(gateway));
+    ask.sent = steady_clock::now();
+    log.Add({ask, connection.Exchange(
+                      ask, KeyOf(kChangingAccount, ask.key_version), "probe",
+                      ask.sent + ask.time_limit + kPatience)});
+    std::this_thread::sleep_for(kProbePause);
+  }
+}
+
+Exchanged AskOnce(Fleet& fleet, int gateway, Kind kind, const std::string& id) {
+  Ask ask;
+  ask.id = id;
+  ask.kind = kind;
+  ask.account = kLargeAccount;
+  ask.gateway = gateway;
+  ask.boot = fleet.boot(gateway);
+  ask.time_limit = kRouteTimeout;
+  ask.prompt_tokens = IsStream(kind) ? kPromptTokens : 0;
+  CallerConnection connection(fleet.caller_port(gateway));
+  ask.sent = steady_clock::now();
+  return {ask, connection.Exchange(ask, KeyOf(ask.account, 0), "once",
+                                   ask.sent + ask.time_limit + kPatience)};
+}
+
+}  // namespace soak
--- /dev/null
+++ b/tests/soak/fleet.cc
@@ -0,0 +1,317 @@
+#include "tests/soak/fleet.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace soak {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kLargePrepaid = 1000000000;
+constexpr std::int64_t kTopUp = 1000;
+constexpr std::uint64_t kFirstVersion = 10;
+
+// Offsets of ports.
+constexpr int kCallers = 10;
+constexpr int kCallerLinks = 30;
+constexpr int kStoreLinks = 50;
+constexpr int kReadiness = 70;
+constexpr int kPeers = 90;
+constexpr int kMetrics = 110;
+constexpr int kBackends = 130;
+constexpr int kBackendLinks = 260;
+
+json Route(const char* prefix, const char* kind, int attempts, bool resumable) {
+  return {{"name", prefix},
+          {"host", "soak.example"},
+          {"prefix", prefix},
+          {"kind", kind},
+          {"service", "work"},
+          {"attempts", attempts},
+          {"timeoutMs", kRouteTimeout.count()},
+          {"targetLatencyMs", 300},
+          {"targetGapMs", 300},
+          {"priority", 1},
+          {"resumable", resumable}};
+}
+
+json Configuration(std::uint64_t version, std::int64_t small_prepaid) {
+  const auto account = [version](const char* name, std::int64_t prepaid) {
+    return json{{"name", name},
+                {"apiKeys", {KeyOf(name, version)}},
+                {"prepaid", prepaid}};
+  };
+  return {
+      {"version", version},
+      {"routes",
+       {Route("/plain/", "safe", 2, false), Route("/once/", "unsafe", 1, false),
+        Route("/stream/", "streaming", 3, true),
+        Route("/single/", "streaming", 1, false)}},
+      {"services",
+       {{{"name", "work"},
+         {"connectionLimit", 200},
+         {"engine",
+          {{"slots", 16}, {"kvCacheTokens", 100000}, {"stride", 5}}}}}},
+      {"limits",
+       {{"maxHeaderBytes", 16384},
+        {"maxBodyBytes", 100000},
+        {"headerTimeoutMs", 2000},
+        {"idleTimeoutMs", 10000}}},
+      {"tenants",
+       {account(kLargeAccount, kLargePrepaid),
+        account(kSmallAccount, small_prepaid),
+        account(kChangingAccount, kLargePrepaid)}}};
+}
+
+std::string Local(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+}  // namespace
+
+std::string KeyOf(const std::string& account, std::uint64_t version) {
+  return account == kChangingAccount ? account + "-" + std::to_string(version)
+                                     : account + "-key";
+}
+
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options)),
+      work_(loop_.get_executor()),
+      links_([this] { loop_.run(); }),
+      store_(options_.base_port),
+      gateways_(options_.gateways),
+      boots_(options_.gateways) {
+  Configure();
+  const int base = options_.base_port;
+  for (int gateway = 0; gateway < options_.gateways; ++gateway) {
+    caller_links_.push_back(std::make_unique<FaultProxy>(
+        loop_, base + kCallerLinks + gateway, base + kCallers + gateway));
+    store_links_.push_back(std::make_unique<FaultProxy>(
+        loop_, base + kStoreLinks + gateway, base));
+    RewriteSettings(gateway);
+    std::ofstream(options_.folder + "/gateway.json")
+        << json{{"metrics_port", 0}, {"log_lines_per_s", 100000}}.dump();
+    StartGateway(gateway);
+  }
+  for (int backend = 0; backend < options_.backends; ++backend)
+    AddBackend();
+}
+
+Fleet::~Fleet() {
+  gateways_.clear();
+  backends_.clear();
+  loop_.stop();
+  links_.join();
+}
+
+std::string Fleet::SettingsPath(int gateway) const {
+  return options_.folder + "/node-" + std::to_string(gateway) + ".conf";
+}
+
+void Fleet::RewriteSettings(int gateway) {
+  const int base = options_.base_port;
+  std::ofstream(SettingsPath(gateway))
+      << "nodeName=front-" << gateway << "\nzone=here-a\nregion=here\n"
+      << "zones.here-a=here\nipAddress=127.0.0.1\nlisten.frontend="
+      << Local(base + kCallers + gateway)
+      << "\nlisten.ready=" << Local(base + kReadiness + gateway)
+      << "\ninternalPortRange=" << base + kPeers + gateway << ","
+      << base + kPeers + gateway
+      << "\nplatform.address=" << Local(base + kStoreLinks + gateway)
+      << "\nbounds.graceS=8\nbounds.drainMs=2500\n"
+         "bounds.retryBudgetRatio=0.2\nbounds.retryBudgetSlack=50\n"
+         "bounds.budgetWindowS=10\nlimits.memoryMb=260\n";
+}
+
+void Fleet::StartGateway(int gateway) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const int boot = ++boots_[gateway];
+  gateways_[gateway] = std::make_unique<ChildProcess>(
+      std::vector<std::string>{options_.gateway_program, "--settings",
+                               options_.folder + "/gateway.json"},
+      std::vector<std::string>{"DANDELIONMILL_NODE_FILE=" +
+                               SettingsPath(gateway)},
+      options_.folder + "/gateway-" + std::to_string(gateway) + "-boot-" +
+          std::to_string(boot) + ".log");
+}
+
+void Fleet::SignalGateway(int gateway, int number) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (gateways_[gateway])
+    gateways_[gateway]->Signal(number);
+}
+
+void Fleet::RemoveGateway(int gateway) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  gateways_[gateway].reset();
+}
+
+std::optional<int> Fleet::GatewayStatus(int gateway) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return gateways_[gateway] ? gateways_[gateway]->Status() : std::nullopt;
+}
+
+int Fleet::boot(int gateway) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return boots_[gateway];
+}
+
+int Fleet::caller_port(int gateway) const {
+  return options_.base_port + kCallerLinks + gateway;
+}
+
+bool Fleet::IsReady(int gateway) const {
+  namespace asio = boost::asio;
+  asio::io_context loop;
+  asio::ip::tcp::socket socket(loop);
+  boost::system::error_code error;
+  socket.connect(
+      {asio::ip::make_address("127.0.0.1"),
+       static_cast<unsigned short>(options_.base_port + kReadiness + gateway)},
+      error);
+  if (error)
+    return false;
+  // A frozen process accepts and does not answer.
+  const timeval timeout{0, 300000};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout,
+               sizeof(timeout));
+  const std::string request =
+      "GET /api/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  char answer[13] = {};
+  return ::send(socket.native_handle(), request.data(), request.size(),
+                MSG_NOSIGNAL) == static_cast<ssize_t>(request.size()) &&
+         ::recv(socket.native_handle(), answer, 12, MSG_WAITALL) == 12 &&
+         std::string(answer + 9, 3) == "200";
+}
+
+std::string Fleet::AddBackend() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  // Ports come again, as addresses do.
+  const int slot = next_backend_ % 120;
+  const std::string id = "b-" + std::to_string(next_backend_++);
+  Backend& backend = backends_[id];
+  backend.port = options_.base_port + kBackendLinks + slot;
+  backend.log = options_.folder + "/" + id + ".runs";
+  logs_[id] = backend.log;
+  const int port = options_.base_port + kBackends + slot;
+  backend.process = std::make_unique<ChildProcess>(
+      std::vector<std::string>{options_.engine_program, id,
+                               std::to_string(port), backend.log,
+                               std::to_string(options_.trouble_percent)},
+      std::vector<std::string>{}, options_.folder + "/" + id + ".log");
+  backend.link = std::make_shared<FaultProxy>(loop_, backend.port, port);
+  backend.is_listed = true;
+  store_.Put("servers", id,
+             {{"service", "work"},
+              {"address", Local(backend.port)},
+              {"zone", "here-a"},
+              {"slots", 16},
+              {"state", "ready"},
+              {"born", next_backend_}});
+  return id;
+}
+
+void Fleet::SignalBackend(const std::string& id, int number) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = backends_.find(id);
+  if (found != backends_.end() && found->second.process)
+    found->second.process->Signal(number);
+}
+
+void Fleet::Announce(const std::string& id, const char* state) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = backends_.find(id);
+  if (found == backends_.end())
+    return;
+  store_.Put("servers", id,
+             {{"service", "work"},
+              {"address", Local(found->second.port)},
+              {"zone", "here-a"},
+              {"slots", 16},
+              {"state", state},
+              {"born", 1}});
+}
+
+void Fleet::Withdraw(const std::string& id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = backends_.find(id);
+  if (found != backends_.end())
+    found->second.is_listed = false;
+  store_.Delete("servers", id);
+}
+
+void Fleet::EndBackend(const std::string& id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = backends_.find(id);
+  if (found != backends_.end())
+    found->second.process.reset();
+}
+
+std::vector<std::string> Fleet::backends() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::string> ids;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.process && backend.is_listed)
+      ids.push_back(id);
+  }
+  return ids;
+}
+
+std::shared_ptr<FaultProxy> Fleet::backend_link(const std::string& id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? nullptr : found->second.link;
+}
+
+void Fleet::Configure() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const std::uint64_t number =
+      versions_.empty() ? kFirstVersion : versions_.back().number + 3;
+  if (!versions_.empty())
+    small_prepaid_ += kTopUp;
+  store_.Put("op", "config", Configuration(number, small_prepaid_));
+  versions_.push_back({number, std::chrono::steady_clock::now()});
+}
+
+std::vector<Version> Fleet::versions() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return versions_;
+}
+
+std::vector<std::pair<std::string, std::int64_t>> Fleet::prepaid() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return {{kLargeAccount, kLargePrepaid}, {kSmallAccount, small_prepaid_}};
+}
+
+std::vector<Run> Fleet::ReadRuns() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<Run> runs;
+  for (const auto& [id, path] : logs_) {
+    std::ifstream file(path);
+    std::string word;
+    std::int64_t at_us = 0;
+    std::string request;
+    std::string account;
+    std::map<std::string, std::size_t> last;
+    std::string line;
+    while (std::getline(file, line)) {
+      std::istringstream fields(line);
+      fields >> word >> at_us >> request >> account;
+      if (word == "run") {
+        last[request] = runs.size();
+        runs.push_back({request, account, id,
+                        Time(std::chrono::microseconds(at_us)), false});
+      } else if (last.count(request) > 0) {
+        runs[last[request]].broke_off = true;
+      }
+    }
+  }
+  return runs;
+}
+
+}  // namespace soak
--- /dev/null
+++ b/tests/soak/soak_main.cc
@@ -0,0 +1,99 @@
+#include <popt.h>
+
+#include <cstdlib>
+#include <exception>
+#include <filesystem>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "tests/soak/soak.h"
+
+// Plays seeds of the fault soak one after the other. Prints one JSON line for
+// each; ends with 1 if a promise was broken.
+namespace {
+
+struct Arguments {
+  int seed = 1;
+  int seeds = 1;
+  int seconds = 12;
+  int gateways = 3;
+  int backends = 4;
+  int callers = 10;
+  int base_port = 29000;
+  std::string folder = BINARY_DIR "/soak";
+  bool keeps_logs = false;
+};
+
+bool PlaySeed(const Arguments& arguments, int seed) {
+  soak::SoakOptions options;
+  options.seed = static_cast<unsigned>(seed);
+  options.callers = arguments.callers;
+  options.length = std::chrono::seconds(arguments.seconds);
+  options.fleet.base_port = arguments.base_port;
+  options.fleet.gateways = arguments.gateways;
+  options.fleet.backends = arguments.backends;
+  options.fleet.gateway_program = BINARY_DIR "/dandelion-gateway";
+  options.fleet.engine_program = BINARY_DIR "/tests/soak-engine";
+  options.fleet.folder = arguments.folder + "/seed-" + std::to_string(seed);
+  std::filesystem::remove_all(options.fleet.folder);
+  std::filesystem::create_directories(options.fleet.folder);
+  const soak::SoakResult result = soak::RunSoak(options);
+  nlohmann::json line = {{"seed", seed}, {"broken", nlohmann::json::array()}};
+  for (const soak::Breach& breach : result.breaches)
+    line["broken"].push_back(breach.promise + ": " + breach.detail);
+  line["seen"] = result.summary;
+  std::cout << line.dump() << std::endl;
+  if (result.breaches.empty() && !arguments.keeps_logs)
+    std::filesystem::remove_all(options.fleet.folder);
+  return result.breaches.empty();
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  Arguments arguments;
+  char* folder = nullptr;
+  int keeps_logs = 0;
+  const poptOption table[] = {
+      {"seed", 0, POPT_ARG_INT, &arguments.seed, 0, "First seed", "N"},
+      {"seeds", 0, POPT_ARG_INT, &arguments.seeds, 0, "Seeds to play", "N"},
+      {"seconds", 0, POPT_ARG_INT, &arguments.seconds, 0,
+       "Time in which faults begin", "S"},
+      {"gateways", 0, POPT_ARG_INT, &arguments.gateways, 0, "1 to 16", "N"},
+      {"backends", 0, POPT_ARG_INT, &arguments.backends, 0,
+       "Backend servers at the start", "N"},
+      {"callers", 0, POPT_ARG_INT, &arguments.callers, 0, "Callers", "N"},
+      {"base-port", 0, POPT_ARG_INT, &arguments.base_port, 0,
+       "The first of 400 free ports", "N"},
+      {"folder", 0, POPT_ARG_STRING, &folder, 0,
+       "Where the logs of broken seeds go", "PATH"},
+      {"keep-logs", 0, POPT_ARG_NONE, &keeps_logs, 0,
+       "Keep the logs of every seed", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("dandelion-soak", argc, argv, table, 0);
+  const int status = poptGetNextOpt(context);
+  const bool is_wrong = status < -1 || poptPeekArg(context) != nullptr ||
+                        arguments.gateways < 1 || arguments.gateways > 16 ||
+                        arguments.backends < 1 || arguments.backends > 60 ||
+                        arguments.seeds < 1 || arguments.callers < 1;
+  poptFreeContext(context);
+  if (is_wrong) {
+    std::cerr << "dandelion-soak: wrong command line\n";
+    return 2;
+  }
+  if (folder != nullptr)
+    arguments.folder = folder;
+  std::free(folder);
+  arguments.keeps_logs = keeps_logs != 0;
+  bool is_good = true;
+  try {
+    for (int i = 0; i < arguments.seeds; ++i)
+      is_good = PlaySeed(arguments, arguments.seed + i) && is_good;
+  } catch (const std::exception& exception) {
+    // Caught so that the processes of the run are ended.
+    std::cerr << "dandelion-soak: " << exception.what() << "\n";
+    return 2;
+  }
+  return is_good ? 0 : 1;
+}
