Logs say what a choice went by; histograms; placement baselines and their emulator

Cause: a line about an attempt did not name the inputs of its choice, prepaid_refused no request, the metrics had summaries that cannot be added up, and placement by cost had never been ranked beside the baselines.

- attempt_* and request_ended lines carry expected wait, tokens to be read, requests in flight and the age of the reported load; a cut stream keeps the status of its head (it was logged as 0 after a second attempt).
- Histograms (Boost.Histogram) of duration and first event by kind of request; gauges of prepaid tokens and of requests that wait for them.
- Placement policies are a variant, selectable in the settings; dandelion-placement-experiment plays them on the users' engines in model time.

--- /dev/null
+++ b/bench/placement/fleet_day.h
@@ -0,0 +1,89 @@
+#ifndef BENCH_PLACEMENT_FLEET_DAY_H_
+#define BENCH_PLACEMENT_FLEET_DAY_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bench/placement/batch_engine.h"
+#include "bench/routing/timeline.h"
+#include "dandelionmill/base/result.h"
+#include "dandelionmill/gateway/backend_entry.h"
+#include "dandelionmill/gateway/placement.h"
+#include "dandelionmill/gateway/placement_policy.h"
+#include "dandelionmill/gateway/retry_allowance.h"
+
+namespace bench::placement {
+
+// A kind of request that a deployment serves from its model engines.
+struct Traffic {
+  std::string name;
+  double per_second = 0;
+  // Different shared prompts.
+  int topics = 1;
+  // Of a prompt, on average.
+  Tokens shared_tokens = 0;
+  Tokens own_tokens = 0;
+  // Of an answer, on average.
+  int events = 1;
+  int priority = 5;
+  // Backend servers that a request may be sent to.
+  int max_attempts = 1;
+  std::chrono::milliseconds objective{500};
+  std::chrono::milliseconds time_limit{12000};
+  double worth = 1;
+  double worth_late = 0.3;
+};
+
+// What the emulator knows of a deployment.
+struct Deployment {
+  std::string name;
+  int zones = 3;
+  int gateways = 8;
+  int engines = 9;
+  BatchEngine::Options engine;
+  std::vector<Traffic> traffic;
+  // One way, between availability zones.
+  std::chrono::milliseconds between_zones{8};
+};
+
+// Returns a deployment by name, with the figures that its users give.
+// Fails with kBadCommandLine.
+dandelionmill::base::Result<Deployment> FindDeployment(const std::string& name);
+const std::vector<std::string>& DeploymentNames();
+
+// What makes a day heavy; the names are the users'.
+const std::vector<std::string>& PatternNames();
+
+struct DayOptions {
+  Deployment deployment;
+  gateway::PlacementPolicy policy = gateway::ByCost();
+  // One of PatternNames.
+  std::string pattern = "quiet";
+  unsigned seed = 1;
+  std::chrono::seconds length{40};
+};
+
+struct DayResult {
+  int requests = 0;
+  int in_time = 0;
+  int late = 0;
+  int refused = 0;
+  int failed = 0;
+  // Worth of the answers over the worth of all requests.
+  double worth_share = 0;
+  Tokens shared_tokens_read = 0;
+  // Attempts that crossed between availability zones.
+  int crossings = 0;
+};
+
+// Plays a day in model time: callers in each availability zone, gateways with
+// the product's own placement and retry allowance, and modelled engines.
+DayResult PlayDay(const DayOptions& options);
+
+}  // namespace bench::placement
+
+#endif  // BENCH_PLACEMENT_FLEET_DAY_H_
--- a/src/dandelionmill/gateway/core.h
+++ b/src/dandelionmill/gateway/core.h
@@ -25,7 +25,8 @@
        prepaid::Keeper& prepaid_keeper,
        base::ZoneId own_zone,
        RetryAllowance::Limits retries,
-       double link_bits_per_s)
+       double link_bits_per_s,
+       PlacementPolicy policy)
       : loop(event_loop),
         keeper(prepaid_keeper),
         zone(std::move(own_zone)),
@@ -33,7 +34,7 @@
         overload(link_bits_per_s),
         pool(event_loop),
         random(std::random_device{}()),
-        placement(random()) {}
+        placement(random(), policy) {}
 
   // Returns the allowance of a service, made at its first use.
   RetryAllowance& AllowanceOf(const base::ServiceId& service) {
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -144,7 +144,8 @@
     return;
   }
   waiter_ = core_.keeper.ReserveLater(
-      account_->id, tokens, std::min(TimeLeft(), kMaxReserveWait),
+      terms_.attempt, account_->id, tokens,
+      std::min(TimeLeft(), kMaxReserveWait),
       [self = shared_from_this()](prepaid::ReserveOutcome outcome) {
         self->waiter_ = 0;
         self->OnReserved(outcome);
@@ -197,10 +198,11 @@
     return;
   }
   backend_ = *choice->backend;
-  uncached_tokens_ = choice->uncached_tokens;
-  expected_wait_ = choice->expected_wait;
+  choice_ = *choice;
+  choice_.backend = nullptr;
   tried_.insert(backend_->id);
-  core_.placement.OnSent(*backend_, request.model, uncached_tokens_, now);
+  core_.placement.OnSent(*backend_, request.model, choice_.uncached_tokens,
+                         now);
   attempt_open_ = true;
   prompt_open_ = true;
   status_ = 0;
@@ -233,10 +235,10 @@
     return;
   }
   const auto failure = std::get<ConnectFailure>(result);
-  log::Event(log::Level::kInfo, "connect_failed")
-      .With("request", terms_.attempt)
-      .With("backend", backend_->id)
-      .With("reason", ToString(failure));
+  {
+    log::Event event(log::Level::kInfo, "connect_failed");
+    WithChoice(event).With("reason", ToString(failure));
+  }
   if (failure == ConnectFailure::kRefused)
     core_.guard.OnRefused(backend_->id, steady_clock::now());
   EndAttempt(AttemptEnd::kBroken);
@@ -300,7 +302,7 @@
     return;
   attempt_open_ = false;
   if (std::exchange(prompt_open_, false))
-    core_.placement.OnPromptDropped(backend_->id, uncached_tokens_);
+    core_.placement.OnPromptDropped(backend_->id, choice_.uncached_tokens);
   core_.placement.OnEnded(backend_->id, end, steady_clock::now());
   if (call_) {
     call_->Abandon();
@@ -351,10 +353,11 @@
     return;
   }
   if (IsBackendSilent(now) && MayTryAgain()) {
-    log::Event(log::Level::kInfo, "attempt_silent")
-        .With("request", terms_.attempt)
-        .With("backend", backend_->id)
-        .With("after", duration_cast<milliseconds>(now - sent_at_));
+    {
+      log::Event event(log::Level::kInfo, "attempt_silent");
+      WithChoice(event).With("after",
+                             duration_cast<milliseconds>(now - sent_at_));
+    }
     may_have_run_ = true;
     // Other connections may have gone silent with this one.
     core_.pool.Drop(backend_->id);
@@ -408,7 +411,7 @@
   if (head_sent_) {
     caller_->Abort();
     caller_ = nullptr;
-    Finish("failed", status_, code, refusal.detail);
+    Finish("failed", head_status_, code, refusal.detail);
     return;
   }
   caller_->Send(
@@ -453,13 +456,12 @@
                                   : duration_cast<milliseconds>(at - begun_);
   };
   const char* kind = route_ == nullptr ? "unrouted" : ToString(route_->kind);
-  log::Event(log::Level::kInfo, "request_ended")
-      .With("request", terms_.attempt)
+  log::Event event(log::Level::kInfo, "request_ended");
+  WithChoice(event)
       .With("route", route_ == nullptr ? "" : route_->name)
       .With("kind", kind)
       .With("account", account_ == nullptr ? "" : account_->id.value())
       .With("service", service_ == nullptr ? "" : service_->id.value())
-      .With("backend", backend_ ? backend_->id.value() : "")
       .With("config", config_ ? config_->version() : 0)
       .With("attempts", sends_)
       .With("outcome", outcome)
@@ -480,6 +482,16 @@
   }
 }
 
+log::Event& Exchange::WithChoice(log::Event& event) const {
+  event.With("request", terms_.attempt)
+      .With("backend", backend_ ? backend_->id.value() : "")
+      .With("expected_ms", choice_.expected_wait)
+      .With("uncached", choice_.uncached_tokens)
+      .With("in_flight", choice_.in_flight)
+      .With("load_age_ms", choice_.load_age.value_or(milliseconds(-1)));
+  return event;
+}
+
 milliseconds Exchange::TimeLeft() const {
   return duration_cast<milliseconds>(deadline_ - steady_clock::now());
 }
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "dandelionmill/gateway/event_framer.h"
 #include "dandelionmill/gateway/refusal.h"
 #include "dandelionmill/gateway/request_terms.h"
+#include "dandelionmill/log/event.h"
 
 namespace dandelionmill::gateway {
 
@@ -93,6 +94,8 @@
               int code,
               const std::string& detail);
   void SettleTokens();
+  // Adds the request, and what the choice of the backend server went by.
+  log::Event& WithChoice(log::Event& event) const;
   std::chrono::milliseconds TimeLeft() const;
   std::string RequestHead() const;
 
@@ -117,8 +120,8 @@
 
   // The attempt under way.
   std::optional<BackendEntry> backend_;
-  base::Tokens uncached_tokens_ = 0;
-  std::chrono::milliseconds expected_wait_{0};
+  // Its `backend` may be gone; `backend_` is a copy.
+  PlacementChoice choice_;
   std::shared_ptr<BackendCall> call_;
   bool attempt_open_ = false;
   bool prompt_open_ = false;
@@ -137,6 +140,8 @@
   // An attempt may have run the request.
   bool may_have_run_ = false;
   bool head_sent_ = false;
+  // Of the head that the caller has.
+  int head_status_ = 0;
   bool is_chunked_ = false;
   std::string last_event_id_;
   std::int64_t events_ = 0;
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -46,10 +46,10 @@
 
 Gateway::Gateway(boost::asio::io_context& loop,
                  const platform::NodeSettings& settings,
-                 int metrics_port)
+                 const Options& options)
     : loop_(loop),
       settings_(settings),
-      metrics_port_(metrics_port),
+      options_(options),
       process_(settings.instance.value() + "/" + base::RandomToken(8)),
       store_(loop, settings.store),
       keeper_(loop, store_, settings.instance.value(), process_),
@@ -57,7 +57,8 @@
             keeper_,
             settings.zone,
             RetryLimits(settings),
-            settings.link_bits_per_s),
+            settings.link_bits_per_s,
+            options.placement),
       lending_(
           loop,
           [this](const peer::LendingPort::Question& question,
@@ -125,6 +126,7 @@
                      : StatusServer::Page{503, "text/plain", "not ready\n"};
   });
   metrics_.AddPage("/metrics", [this] {
+    MeasurePrepaid();
     return StatusServer::Page{200, "text/plain; version=0.0.4",
                               core_.metrics.ToPrometheus()};
   });
@@ -134,8 +136,8 @@
   base::Status status = Listen(acceptor_, settings_.callers);
   if (base::IsOk(status))
     status = readiness_.Listen(settings_.readiness);
-  if (base::IsOk(status) && metrics_port_ != 0)
-    status = metrics_.Listen({settings_.callers.host, metrics_port_});
+  if (base::IsOk(status) && options_.metrics_port != 0)
+    status = metrics_.Listen({settings_.callers.host, options_.metrics_port});
   if (base::IsOk(status))
     status = lending_.Listen(settings_.peers);
   if (!base::IsOk(status))
@@ -415,6 +417,16 @@
       .With("addresses_need_restart", moved);
 }
 
+void Gateway::MeasurePrepaid() {
+  const base::BootTime now = base::BootClock::now();
+  const prepaid::Ledger& ledger = keeper_.ledger();
+  for (const base::AccountId& account : ledger.Accounts()) {
+    core_.metrics.OnPrepaid(account.value(), ledger.Held(account),
+                            ledger.Available(account, now),
+                            keeper_.Waiting(account));
+  }
+}
+
 std::string Gateway::Dump() const {
   nlohmann::json dump = {
       {"process", process_},
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -26,10 +26,16 @@
 // loop, and keeps up with the store about everything that it decides by.
 class Gateway {
  public:
-  // `metrics_port` is 0 for no metrics address. `loop` must outlive this.
+  struct Options {
+    // 0 for no metrics address.
+    int metrics_port = 0;
+    PlacementPolicy placement = ByCost();
+  };
+
+  // `loop` must outlive this.
   Gateway(boost::asio::io_context& loop,
           const platform::NodeSettings& settings,
-          int metrics_port);
+          const Options& options);
   ~Gateway();
 
   // Commands.
@@ -57,11 +63,13 @@
   void GiveBack();
   void FinishLeaving();
   bool IsReady() const;
+  // Brings the metrics of prepaid tokens up to date.
+  void MeasurePrepaid();
   std::string Dump() const;
 
   boost::asio::io_context& loop_;
   platform::NodeSettings settings_;
-  const int metrics_port_;
+  const Options options_;
   const std::string process_;
   platform::StoreClient store_;
   prepaid::Keeper keeper_;
--- a/src/dandelionmill/gateway/gateway_main.cc
+++ b/src/dandelionmill/gateway/gateway_main.cc
@@ -51,8 +51,14 @@
     return settings::kExitUsage;
   }
   boost::asio::io_context loop(1);
+  const auto placement = ParsePlacementPolicy(started.values.Text("placement"));
+  if (!base::IsOk(placement)) {
+    std::cerr << base::ToString(base::ErrorOf(placement)) << "\n";
+    return settings::kExitUsage;
+  }
   Gateway gateway(loop, base::ValueOf(settings),
-                  static_cast<int>(started.values.Integer("metrics_port")));
+                  {static_cast<int>(started.values.Integer("metrics_port")),
+                   base::ValueOf(placement)});
   const base::Status status = gateway.Start();
   if (!base::IsOk(status)) {
     std::cerr << base::ToString(base::ErrorOf(status)) << "\n";
--- a/src/dandelionmill/gateway/gateway_metrics.cc
+++ b/src/dandelionmill/gateway/gateway_metrics.cc
@@ -13,10 +13,41 @@
                       "\",code=\"" + std::to_string(code) + "\"")
       .Add();
   registry_
-      .GetSummary("dandelion_request_duration_ms",
-                  "Time from reading a request to the end of its answer.",
-                  std::string("kind=\"") + kind + "\"")
-      .Record(static_cast<double>(duration.count()));
+      .GetHistogram("dandelion_request_duration_ms",
+                    "Time from reading a request to the end of its answer.",
+                    std::string("kind=\"") + kind + "\"")
+      .Record(duration);
+}
+
+void GatewayMetrics::OnFirstEvent(const char* kind,
+                                  std::chrono::milliseconds waited) {
+  registry_
+      .GetHistogram("dandelion_first_event_ms",
+                    "Time from reading a request to the first event of its "
+                    "answer.",
+                    std::string("kind=\"") + kind + "\"")
+      .Record(waited);
+}
+
+void GatewayMetrics::OnPrepaid(const std::string& account,
+                               std::int64_t held,
+                               std::int64_t available,
+                               int waiting) {
+  registry_
+      .GetGauge("dandelion_prepaid_held_tokens",
+                "Prepaid tokens that this instance holds.",
+                "account=\"" + account + "\"")
+      .Set(held);
+  registry_
+      .GetGauge("dandelion_prepaid_available_tokens",
+                "Prepaid tokens that may be used now.",
+                "account=\"" + account + "\"")
+      .Set(available);
+  registry_
+      .GetGauge("dandelion_prepaid_waiting_requests",
+                "Requests that wait for prepaid tokens.",
+                "account=\"" + account + "\"")
+      .Set(waiting);
 }
 
 void GatewayMetrics::OnAttempt(const char* reason) {
--- a/src/dandelionmill/gateway/gateway_metrics.h
+++ b/src/dandelionmill/gateway/gateway_metrics.h
@@ -17,6 +17,7 @@
                       const std::string& outcome,
                       int code,
                       std::chrono::milliseconds duration);
+  void OnFirstEvent(const char* kind, std::chrono::milliseconds waited);
   void OnAttempt(const char* reason);
   void OnConfigVersion(std::int64_t version);
   void OnTick(int open_exchanges,
@@ -26,6 +27,12 @@
               std::chrono::milliseconds config_age,
               std::chrono::milliseconds registry_age);
 
+  // Tokens of one account, and requests that wait for some.
+  void OnPrepaid(const std::string& account,
+                 std::int64_t held,
+                 std::int64_t available,
+                 int waiting);
+
   std::string ToPrometheus() const { return registry_.ToPrometheus(); }
 
  private:
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -81,12 +81,15 @@
     return;
   const base::MonoTime now = steady_clock::now();
   if (std::exchange(prompt_open_, false)) {
-    core_.placement.OnFirstEvent(backend_->id, uncached_tokens_,
+    core_.placement.OnFirstEvent(backend_->id, choice_.uncached_tokens,
                                  duration_cast<milliseconds>(now - sent_at_),
-                                 expected_wait_, now);
+                                 choice_.expected_wait, now);
   }
-  if (events_ == 0)
+  if (events_ == 0) {
     first_event_at_ = now;
+    core_.metrics.OnFirstEvent(ToString(route_->kind),
+                               duration_cast<milliseconds>(now - begun_));
+  }
   last_event_at_ = now;
   std::string chunk;
   for (FramedEvent& event : events) {
@@ -107,6 +110,7 @@
 
 void Exchange::SendHead(bool chunked, std::size_t length) {
   head_sent_ = true;
+  head_status_ = status_;
   is_chunked_ = chunked;
   const auto reason = http::obsolete_reason(
       http::int_to_status(static_cast<unsigned>(status_)));
@@ -179,10 +183,10 @@
 }
 
 void Exchange::OnRejected() {
-  log::Event(log::Level::kInfo, "attempt_rejected")
-      .With("request", terms_.attempt)
-      .With("backend", backend_->id)
-      .With("status", status_);
+  {
+    log::Event event(log::Level::kInfo, "attempt_rejected");
+    WithChoice(event).With("status", status_);
+  }
   if (answer_.is_other_backend) {
     core_.directory.Discard(backend_->id);
     core_.pool.Drop(backend_->id);
@@ -207,10 +211,10 @@
 void Exchange::OnFailureStatus() {
   may_have_run_ = true;
   if (MayRunAgain(route_->kind) && !head_sent_ && MayTryAgain()) {
-    log::Event(log::Level::kInfo, "attempt_failed")
-        .With("request", terms_.attempt)
-        .With("backend", backend_->id)
-        .With("status", status_);
+    {
+      log::Event event(log::Level::kInfo, "attempt_failed");
+      WithChoice(event).With("status", status_);
+    }
     Place();
     return;
   }
@@ -231,12 +235,13 @@
 
 void Exchange::OnBroken(const std::string& reason) {
   const base::MonoTime now = steady_clock::now();
-  log::Event(log::Level::kInfo, "attempt_broken")
-      .With("request", terms_.attempt)
-      .With("backend", backend_->id)
-      .With("reason", reason)
-      .With("events", events_)
-      .With("after", duration_cast<milliseconds>(now - sent_at_));
+  {
+    log::Event event(log::Level::kInfo, "attempt_broken");
+    WithChoice(event)
+        .With("reason", reason)
+        .With("events", events_)
+        .With("after", duration_cast<milliseconds>(now - sent_at_));
+  }
   may_have_run_ = true;
   core_.guard.OnBroken(digest_, backend_->id, now);
   EndAttempt(AttemptEnd::kBroken);
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "dandelionmill/base/digest.h"
+#include "dandelionmill/base/overloaded.h"
 
 namespace dandelionmill::gateway {
 namespace {
@@ -66,6 +67,9 @@
 // Added to both waits that are compared, so that short ones weigh little.
 constexpr double kSlownessFloorMs = 40;
 
+// Added to the count of requests at a backend server that OfTwo did not draw.
+constexpr double kNotDrawn = 1e6;
+
 // Random part of the cost, so that instances with the same view spread out.
 constexpr double kJitter = 0.08;
 
@@ -323,14 +327,52 @@
   distance_paid_[shared.key] += static_cast<double>(request.bytes);
 }
 
+double Placement::CostOf(const PlacementChoice& choice,
+                         const State& state,
+                         const PlacementRequest& request,
+                         const SharedPrompt& shared,
+                         double wait_ms,
+                         const std::array<const BackendEntry*, 2>& drawn,
+                         base::MonoTime now) {
+  const auto by_cost = [&](const ByCost&) {
+    const double objective = std::max<double>(
+        1, static_cast<double>(request.latency_objective.count()));
+    const double late = std::clamp(
+        (wait_ms / objective - kSafePart) / (1 - kSafePart), 0.0, kMaxLateRisk);
+    return kLateCost * late + kWaitCostPerMs * wait_ms +
+           ReadAgainCost(*choice.backend, state, request, shared) +
+           kFailureCost * FailureShare(state, now) +
+           (choice.backend->zone == request.zone
+                ? 0
+                : static_cast<double>(request.bytes));
+  };
+  std::uniform_real_distribution<double> any;
+  return std::visit(
+      base::Overloaded{
+          by_cost, [&](const AtRandom&) { return any(random_); },
+          [&](const OfTwo&) {
+            const bool is_drawn =
+                choice.backend == drawn[0] || choice.backend == drawn[1];
+            return (is_drawn ? 0 : kNotDrawn) + choice.in_flight + any(random_);
+          },
+          [&](const LeastInFlight&) { return choice.in_flight + any(random_); },
+          [&](const AtHome&) {
+            return choice.is_home ? -1 : choice.in_flight + any(random_);
+          }},
+      policy_);
+}
+
 std::optional<PlacementChoice> Placement::Choose(
     const std::vector<const BackendEntry*>& usable,
     const PlacementRequest& request,
     base::MonoTime now) {
   const SharedPrompt shared = FindShared(usable, request);
-  const double objective = std::max<double>(
-      1, static_cast<double>(request.latency_objective.count()));
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
+  std::array<const BackendEntry*, 2> drawn{};
+  if (std::holds_alternative<OfTwo>(policy_) && !usable.empty()) {
+    for (const BackendEntry*& backend : drawn)
+      backend = usable[random_() % usable.size()];
+  }
   std::optional<PlacementChoice> best;
   double best_cost = 0;
   // Backend servers under avoidance are used when there is no other.
@@ -341,29 +383,29 @@
           (avoiding && now < state.avoid_until) ||
           state.in_flight >= request.max_in_flight)
         continue;
-      base::Tokens uncached = 0;
+      PlacementChoice choice;
+      choice.backend = backend;
+      choice.is_home = backend == shared.home;
+      choice.in_flight = state.in_flight;
       if (request.model != nullptr) {
         base::Tokens cached = state.prompts.CachedTokens(request.model->parts);
-        if (backend == shared.home)
+        if (choice.is_home)
           cached = std::max(cached, shared.tokens);
-        uncached =
+        choice.uncached_tokens =
             std::max<base::Tokens>(1, request.model->prompt_tokens - cached);
       }
       const double wait =
           jitter(random_) *
-          ExpectedWaitMs(*backend, state, request, uncached, now);
-      const double late = std::clamp(
-          (wait / objective - kSafePart) / (1 - kSafePart), 0.0, kMaxLateRisk);
+          ExpectedWaitMs(*backend, state, request, choice.uncached_tokens, now);
+      choice.expected_wait = milliseconds(static_cast<std::int64_t>(wait));
+      if (state.load_at != base::MonoTime()) {
+        choice.load_age =
+            std::chrono::duration_cast<milliseconds>(now - state.load_at);
+      }
       const double cost =
-          kLateCost * late + kWaitCostPerMs * wait +
-          ReadAgainCost(*backend, state, request, shared) +
-          kFailureCost * FailureShare(state, now) +
-          (backend->zone == request.zone ? 0
-                                         : static_cast<double>(request.bytes));
+          CostOf(choice, state, request, shared, wait, drawn, now);
       if (!best || cost < best_cost) {
-        best = PlacementChoice{backend,
-                               milliseconds(static_cast<std::int64_t>(wait)),
-                               uncached, backend == shared.home};
+        best = choice;
         best_cost = cost;
       }
     }
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -1,6 +1,7 @@
 #ifndef SRC_DANDELIONMILL_GATEWAY_PLACEMENT_H_
 #define SRC_DANDELIONMILL_GATEWAY_PLACEMENT_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <list>
@@ -15,6 +16,7 @@
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/gateway/backend_entry.h"
+#include "dandelionmill/gateway/placement_policy.h"
 #include "dandelionmill/gateway/request_terms.h"
 
 namespace dandelionmill::gateway {
@@ -71,6 +73,11 @@
   // Where all instances would send requests with this prompt if nothing spoke
   // against it.
   bool is_home = false;
+
+  // What the choice went by, for logs: requests there from this instance, and
+  // how old the load is that the backend server reported; not set for never.
+  int in_flight = 0;
+  std::optional<std::chrono::milliseconds> load_age;
 };
 
 // How requests went at one backend server as seen from this instance.
@@ -97,7 +104,8 @@
 // random tie-breaking.
 class Placement {
  public:
-  explicit Placement(std::uint64_t seed) : random_(seed) {}
+  explicit Placement(std::uint64_t seed, PlacementPolicy policy = ByCost())
+      : policy_(policy), random_(seed) {}
 
   // Commands.
   // Tells the cache memory of the model engines of a service.
@@ -184,10 +192,20 @@
                        const State& state,
                        const PlacementRequest& request,
                        const SharedPrompt& shared) const;
+  // Returns the cost of a choice under `policy_`; `drawn` are the two that
+  // OfTwo compares.
+  double CostOf(const PlacementChoice& choice,
+                const State& state,
+                const PlacementRequest& request,
+                const SharedPrompt& shared,
+                double wait_ms,
+                const std::array<const BackendEntry*, 2>& drawn,
+                base::MonoTime now);
   void ChargeDistance(const PlacementChoice& choice,
                       const PlacementRequest& request,
                       const SharedPrompt& shared);
 
+  const PlacementPolicy policy_;
   std::map<base::BackendId, State> states_;
   std::map<base::ServiceId, base::Tokens> cache_tokens_;
   // Bytes that went to the home of a shared prompt in another zone.
--- a/src/dandelionmill/metrics/registry.cc
+++ b/src/dandelionmill/metrics/registry.cc
@@ -8,6 +8,10 @@
 #include <boost/accumulators/statistics/sum.hpp>
 
 #include <array>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <limits>
 #include <sstream>
 
 namespace dandelionmill::metrics {
@@ -32,6 +36,25 @@
   return "{" + labels + comma + more + "}";
 }
 
+void WriteHistogram(std::ostream& out,
+                    const std::string& name,
+                    const std::string& labels,
+                    const Histogram& histogram) {
+  std::int64_t count = 0;
+  for (const Histogram::Bucket& bucket : histogram.Read()) {
+    std::ostringstream bound;
+    if (bucket.upper_bound == std::numeric_limits<double>::infinity())
+      bound << "+Inf";
+    else
+      bound << bucket.upper_bound;
+    out << name << "_bucket" << Braces(labels, "le=\"" + bound.str() + "\"")
+        << " " << bucket.count << "\n";
+    count = bucket.count;
+  }
+  out << name << "_sum" << Braces(labels) << " " << histogram.sum() << "\n"
+      << name << "_count" << Braces(labels) << " " << count << "\n";
+}
+
 }  // namespace
 
 class Summary::Accumulator {
@@ -70,6 +93,62 @@
   return snapshot;
 }
 
+// Bounds in milliseconds: from an answer of a plain service to the longest time
+// limit of the users' requests.
+const std::vector<double>& LatencyBounds() {
+  static const std::vector<double> bounds = {
+      5, 10, 20, 50, 100, 200, 300, 500, 1000, 2000, 5000, 10000, 15000};
+  return bounds;
+}
+
+class Histogram::Counts {
+ public:
+  using Axis = boost::histogram::axis::variable<double>;
+
+  // The axis takes bounds as exclusive; values are whole milliseconds.
+  static std::vector<double> Edges() {
+    std::vector<double> edges = {0};
+    for (const double bound : LatencyBounds())
+      edges.push_back(bound + 1);
+    return edges;
+  }
+
+  decltype(boost::histogram::make_histogram(Axis())) set =
+      boost::histogram::make_histogram(Axis(Edges()));
+  double sum = 0;
+};
+
+Histogram::Histogram() : counts_(std::make_unique<Counts>()) {}
+Histogram::~Histogram() = default;
+
+void Histogram::Record(std::chrono::milliseconds value) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const auto ms = static_cast<double>(value.count());
+  counts_->set(ms);
+  counts_->sum += ms;
+}
+
+std::vector<Histogram::Bucket> Histogram::Read() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<Bucket> buckets;
+  // The bin below the first edge takes times that are negative.
+  double count = counts_->set.at(-1);
+  int bin = 0;
+  for (const double bound : LatencyBounds()) {
+    count += counts_->set.at(bin++);
+    buckets.push_back({bound, static_cast<std::int64_t>(count)});
+  }
+  count += counts_->set.at(bin);
+  buckets.push_back({std::numeric_limits<double>::infinity(),
+                     static_cast<std::int64_t>(count)});
+  return buckets;
+}
+
+double Histogram::sum() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return counts_->sum;
+}
+
 template <class T>
 T& Registry::Find(std::map<std::string, Family<T>>& families,
                   const std::string& name,
@@ -102,6 +181,12 @@
   return Find(summaries_, name, help, labels);
 }
 
+Histogram& Registry::GetHistogram(const std::string& name,
+                                  const std::string& help,
+                                  const std::string& labels) {
+  return Find(histograms_, name, help, labels);
+}
+
 std::string Registry::ToPrometheus() const {
   std::lock_guard<std::mutex> lock(mutex_);
   std::ostringstream out;
@@ -129,6 +214,11 @@
           << name << "_count" << Braces(labels) << " " << read.count << "\n";
     }
   }
+  for (const auto& [name, family] : histograms_) {
+    WriteHead(out, name, family.help, "histogram");
+    for (const auto& [labels, histogram] : family.by_labels)
+      WriteHistogram(out, name, labels, *histogram);
+  }
   return out.str();
 }
 
--- a/src/dandelionmill/metrics/registry.h
+++ b/src/dandelionmill/metrics/registry.h
@@ -2,11 +2,13 @@
 #define SRC_DANDELIONMILL_METRICS_REGISTRY_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace dandelionmill::metrics {
 
@@ -62,6 +64,30 @@
   std::unique_ptr<Accumulator> accumulator_;
 };
 
+// Counts a stream of times by fixed bounds, so that those of many processes can
+// be added up (Boost.Histogram). Safe from any thread.
+class Histogram {
+ public:
+  struct Bucket {
+    // Inclusive, in milliseconds; infinite for the last.
+    double upper_bound = 0;
+    // Of all values up to the bound.
+    std::int64_t count = 0;
+  };
+
+  Histogram();
+  ~Histogram();
+
+  void Record(std::chrono::milliseconds value);
+  std::vector<Bucket> Read() const;
+  double sum() const;
+
+ private:
+  class Counts;
+  mutable std::mutex mutex_;
+  std::unique_ptr<Counts> counts_;
+};
+
 // Names the metrics of one process. References stay valid for the life of the
 // registry; hold on to them rather than looking them up for each event.
 class Registry {
@@ -77,6 +103,9 @@
   Summary& GetSummary(const std::string& name,
                       const std::string& help,
                       const std::string& labels = "");
+  Histogram& GetHistogram(const std::string& name,
+                          const std::string& help,
+                          const std::string& labels = "");
 
   // Returns all metrics in the Prometheus text format.
   std::string ToPrometheus() const;
@@ -97,6 +126,7 @@
   std::map<std::string, Family<Counter>> counters_;
   std::map<std::string, Family<Gauge>> gauges_;
   std::map<std::string, Family<Summary>> summaries_;
+  std::map<std::string, Family<Histogram>> histograms_;
 };
 
 }  // namespace dandelionmill::metrics
--- a/tests/sessions/gateway/gateway_fixture.cc
+++ b/tests/sessions/gateway/gateway_fixture.cc
@@ -33,7 +33,8 @@
   settings.peers = {"127.0.0.1", kPeerPort};
   settings.shutdown_grace = milliseconds(5000);
   loop_ = std::make_unique<asio::io_context>(1);
-  gateway_ = std::make_unique<gateway::Gateway>(*loop_, settings, 0);
+  gateway_ = std::make_unique<gateway::Gateway>(*loop_, settings,
+                                                gateway::Gateway::Options());
   REQUIRE(base::IsOk(gateway_->Start()));
   has_left = false;
   thread_ = std::thread([this] { loop_->run(); });
--- /dev/null
+++ b/tests/sessions/operations_page/operations_page_test.cc
@@ -0,0 +1,124 @@
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <regex>
+#include <set>
+#include <sstream>
+
+#include "tests/soak/caller.h"
+#include "tests/soak/fleet.h"
+
+namespace {
+
+using soak::Kind;
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// The keys of a log line from `event` on, in their order.
+std::vector<std::string> KeysOf(const std::string& line) {
+  static const std::regex quoted("\"(\\\\.|[^\"\\\\])*\"");
+  static const std::regex key("([a-z_]+)=");
+  const std::string bare = std::regex_replace(line, quoted, "text");
+  std::vector<std::string> keys;
+  for (auto at = std::sregex_iterator(bare.begin(), bare.end(), key);
+       at != std::sregex_iterator(); ++at)
+    keys.push_back((*at)[1]);
+  return keys;
+}
+
+// The log lines in `text` by event, each from the event's name on.
+std::map<std::string, std::set<std::vector<std::string>>> LinesByEvent(
+    const std::string& text) {
+  static const std::regex event("event=([a-z_]+)");
+  std::map<std::string, std::set<std::vector<std::string>>> lines;
+  std::istringstream in(text);
+  for (std::string line; std::getline(in, line);) {
+    std::smatch match;
+    if (std::regex_search(line, match, event))
+      lines[match[1]].insert(KeysOf(line.substr(match.position())));
+  }
+  return lines;
+}
+
+// One gateway whose backend servers refuse half of all requests and break the
+// others off; its log after some of each kind of failure.
+std::string LogOfFailures() {
+  soak::FleetOptions options;
+  options.base_port = 28600;
+  options.gateways = 1;
+  options.backends = 2;
+  options.trouble_percent = 100;
+  options.gateway_program = BINARY_DIR "/dandelion-gateway";
+  options.engine_program = BINARY_DIR "/tests/soak-engine";
+  options.folder = BINARY_DIR "/operations_page";
+  std::filesystem::remove_all(options.folder);
+  std::filesystem::create_directories(options.folder);
+  soak::Fleet fleet(options);
+  for (int i = 0; i < 400 && !fleet.IsReady(0); ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(25));
+  REQUIRE(fleet.IsReady(0));
+  for (int i = 0; i < 20; ++i) {
+    for (const Kind kind : {Kind::kUnsafe, Kind::kResumableStream}) {
+      soak::AskOnce(fleet, 0, kind,
+                    "f-" + std::to_string(i) + "-" +
+                        std::to_string(static_cast<int>(kind)));
+    }
+  }
+  soak::Ask large;
+  large.id = "too-large";
+  large.kind = Kind::kSingleStream;
+  large.account = soak::kSmallAccount;
+  large.prompt_tokens = 1000000;
+  large.time_limit = soak::kRouteTimeout;
+  large.sent = std::chrono::steady_clock::now();
+  soak::CallerConnection connection(fleet.caller_port(0));
+  const soak::Outcome outcome =
+      connection.Exchange(large, soak::KeyOf(large.account, 0), "",
+                          large.sent + std::chrono::seconds(5));
+  CHECK(outcome.status == 402);
+  return ReadFile(options.folder + "/gateway-0-boot-1.log");
+}
+
+}  // namespace
+
+TEST_CASE("The lines in OPERATIONS.md are those that a gateway writes",
+          "[operations]") {
+  const auto written = LinesByEvent(LogOfFailures());
+  const auto shown = LinesByEvent(ReadFile(SOURCE_DIR "/docs/OPERATIONS.md"));
+  REQUIRE(shown.count("request_ended") == 1);
+  REQUIRE(shown.count("attempt_broken") == 1);
+  REQUIRE(shown.count("attempt_rejected") == 1);
+  REQUIRE(shown.count("prepaid_refused") == 1);
+  for (const auto& [event, forms] : shown) {
+    INFO(event);
+    REQUIRE(written.count(event) == 1);
+    for (const auto& keys : forms)
+      CHECK(written.at(event).count(keys) == 1);
+  }
+}
+
+TEST_CASE("Every line and metric that OPERATIONS.md names exists",
+          "[operations]") {
+  std::string sources;
+  for (const auto& entry : std::filesystem::recursive_directory_iterator(
+           SOURCE_DIR "/src/dandelionmill")) {
+    if (entry.path().extension() == ".cc")
+      sources += ReadFile(entry.path());
+  }
+  const std::string page = ReadFile(SOURCE_DIR "/docs/OPERATIONS.md");
+  const std::regex name("`([a-z]+_[a-z_]+)[`{]");
+  int names = 0;
+  for (auto at = std::sregex_iterator(page.begin(), page.end(), name);
+       at != std::sregex_iterator(); ++at, ++names) {
+    INFO((*at)[1]);
+    const bool exists = sources.find((*at)[1].str()) != std::string::npos;
+    CHECK(exists);
+  }
+  CHECK(names > 20);
+}
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -68,6 +69,12 @@
         account(kChangingAccount, kLargePrepaid)}}};
 }
 
+// Replaces a file in one step, since a process may be reading it.
+void WriteWhole(const std::string& path, const std::string& text) {
+  std::ofstream(path + ".new") << text;
+  std::filesystem::rename(path + ".new", path);
+}
+
 std::string Local(int port) {
   return "127.0.0.1:" + std::to_string(port);
 }
@@ -87,6 +94,8 @@
       gateways_(options_.gateways),
       boots_(options_.gateways) {
   Configure();
+  WriteWhole(options_.folder + "/gateway.json",
+             json{{"metrics_port", 0}, {"log_lines_per_s", 100000}}.dump());
   const int base = options_.base_port;
   for (int gateway = 0; gateway < options_.gateways; ++gateway) {
     caller_links_.push_back(std::make_unique<FaultProxy>(
@@ -94,8 +103,6 @@
     store_links_.push_back(std::make_unique<FaultProxy>(
         loop_, base + kStoreLinks + gateway, base));
     RewriteSettings(gateway);
-    std::ofstream(options_.folder + "/gateway.json")
-        << json{{"metrics_port", 0}, {"log_lines_per_s", 100000}}.dump();
     StartGateway(gateway);
   }
   for (int backend = 0; backend < options_.backends; ++backend)
@@ -115,17 +122,18 @@
 
 void Fleet::RewriteSettings(int gateway) {
   const int base = options_.base_port;
-  std::ofstream(SettingsPath(gateway))
-      << "nodeName=front-" << gateway << "\nzone=here-a\nregion=here\n"
-      << "zones.here-a=here\nipAddress=127.0.0.1\nlisten.frontend="
-      << Local(base + kCallers + gateway)
-      << "\nlisten.ready=" << Local(base + kReadiness + gateway)
-      << "\ninternalPortRange=" << base + kPeers + gateway << ","
-      << base + kPeers + gateway
-      << "\nplatform.address=" << Local(base + kStoreLinks + gateway)
-      << "\nbounds.graceS=8\nbounds.drainMs=2500\n"
-         "bounds.retryBudgetRatio=0.2\nbounds.retryBudgetSlack=50\n"
-         "bounds.budgetWindowS=10\nlimits.memoryMb=260\n";
+  std::ostringstream text;
+  text << "nodeName=front-" << gateway << "\nzone=here-a\nregion=here\n"
+       << "zones.here-a=here\nipAddress=127.0.0.1\nlisten.frontend="
+       << Local(base + kCallers + gateway)
+       << "\nlisten.ready=" << Local(base + kReadiness + gateway)
+       << "\ninternalPortRange=" << base + kPeers + gateway << ","
+       << base + kPeers + gateway
+       << "\nplatform.address=" << Local(base + kStoreLinks + gateway)
+       << "\nbounds.graceS=8\nbounds.drainMs=2500\n"
+          "bounds.retryBudgetRatio=0.2\nbounds.retryBudgetSlack=50\n"
+          "bounds.budgetWindowS=10\nlimits.memoryMb=260\n";
+  WriteWhole(SettingsPath(gateway), text.str());
 }
 
 void Fleet::StartGateway(int gateway) {
--- a/tests/unit/metrics/registry_test.cc
+++ b/tests/unit/metrics/registry_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+using dandelionmill::metrics::Histogram;
 using dandelionmill::metrics::Registry;
 
 TEST_CASE("Metrics are written in the Prometheus text format", "[metrics]") {
@@ -20,3 +21,24 @@
   CHECK(text.find("dandelion_wait_ms_count 100\n") != std::string::npos);
   CHECK(summary.Read().p50 == Approx(50).margin(5));
 }
+
+TEST_CASE("A histogram counts values up to each bound", "[metrics]") {
+  Registry registry;
+  Histogram& histogram =
+      registry.GetHistogram("wait_ms", "Waits.", "kind=\"stream\"");
+  for (const int ms : {0, 5, 6, 100, 20000})
+    histogram.Record(std::chrono::milliseconds(ms));
+  const auto buckets = histogram.Read();
+  CHECK(buckets.front().upper_bound == 5);
+  CHECK(buckets.front().count == 2);
+  CHECK(buckets[1].count == 3);
+  CHECK(buckets.back().count == 5);
+  const std::string page = registry.ToPrometheus();
+  CHECK_THAT(page, Catch::Contains("# TYPE wait_ms histogram"));
+  CHECK_THAT(page,
+             Catch::Contains("wait_ms_bucket{kind=\"stream\",le=\"100\"} 4"));
+  CHECK_THAT(page,
+             Catch::Contains("wait_ms_bucket{kind=\"stream\",le=\"+Inf\"} 5"));
+  CHECK_THAT(page, Catch::Contains("wait_ms_sum{kind=\"stream\"} 20111"));
+  CHECK_THAT(page, Catch::Contains("wait_ms_count{kind=\"stream\"} 5"));
+}
