Placement counts what reading a prompt costs the requests at a busy engine

Change: a choice also costs the delay of its uncached tokens times the requests that are there, as far as the answer would be late anyway.

--- a/src/dandelionmill/ctl/commands/commands.h
+++ b/src/dandelionmill/ctl/commands/commands.h
@@ -19,6 +19,9 @@
 Command Dump();
 Command Drain();
 Command Codes();
+Command CheckGateway();
+Command GatewayStatus();
+Command Prepaid();
 
 }  // namespace dandelionmill::ctl::commands
 
--- /dev/null
+++ b/src/dandelionmill/ctl/commands/gateway.cc
@@ -0,0 +1,222 @@
+#include <boost/asio/io_context.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+
+#include "dandelionmill/ctl/admin_client.h"
+#include "dandelionmill/ctl/commands/commands.h"
+#include "dandelionmill/gateway/gateway_settings.h"
+#include "dandelionmill/platform/desired_state.h"
+#include "dandelionmill/platform/node_settings.h"
+#include "dandelionmill/platform/store_client.h"
+#include "dandelionmill/platform/tables.h"
+#include "dandelionmill/prepaid/rows.h"
+
+// Commands for gateways on the users' platform.
+namespace dandelionmill::ctl::commands {
+namespace {
+
+using nlohmann::json;
+
+base::Result<std::string> ReadText(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf()))
+    return base::Error{base::Code::kBadSetting,
+                       "file \"" + path + "\" cannot be read"};
+  return text.str();
+}
+
+Exit RunCheck(const Invocation& invocation, Environment& environment) {
+  const auto settings_text = ReadText(invocation.arguments[0]);
+  if (!base::IsOk(settings_text))
+    return Report(base::ErrorOf(settings_text), invocation, environment);
+  const auto settings =
+      settings::Check(gateway::GatewaySchema(), base::ValueOf(settings_text));
+  if (!base::IsOk(settings))
+    return Report(base::ErrorOf(settings), invocation, environment);
+  json checked = {{"valid", true}};
+  if (invocation.arguments.size() > 1) {
+    const auto node_text = ReadText(invocation.arguments[1]);
+    if (!base::IsOk(node_text))
+      return Report(base::ErrorOf(node_text), invocation, environment);
+    const auto node = platform::ParseNodeSettings(base::ValueOf(node_text));
+    if (!base::IsOk(node))
+      return Report(base::ErrorOf(node), invocation, environment);
+    checked["instance"] = base::ValueOf(node).instance.value();
+    checked["callers"] = net::ToString(base::ValueOf(node).callers);
+    checked["store"] = net::ToString(base::ValueOf(node).store);
+  }
+  if (invocation.json) {
+    environment.out << checked.dump() << "\n";
+    return Exit::kDone;
+  }
+  environment.out << "valid";
+  for (const char* key : {"instance", "callers", "store"}) {
+    if (checked.contains(key))
+      environment.out << " " << key << "=" << checked[key].get<std::string>();
+  }
+  environment.out << "\n";
+  return Exit::kDone;
+}
+
+// Returns the state of the gateway whose metrics address is `text`.
+base::Result<json> ReadGateway(const Environment& environment,
+                               const std::string& text) {
+  const auto address = net::ParseAddress(text);
+  if (!base::IsOk(address))
+    return base::Error{base::Code::kBadCommandLine,
+                       base::ErrorOf(address).detail};
+  return ReadDump(environment, base::ValueOf(address));
+}
+
+Exit RunGateway(const Invocation& invocation, Environment& environment) {
+  const auto read = ReadGateway(environment, invocation.arguments[0]);
+  if (!base::IsOk(read))
+    return Report(base::ErrorOf(read), invocation, environment);
+  const json& dump = base::ValueOf(read);
+  if (invocation.json) {
+    environment.out << dump.dump() << "\n";
+    return Exit::kDone;
+  }
+  for (const char* key :
+       {"process", "zone", "ready", "leaving", "overloaded", "config_version",
+        "instances", "open_requests", "caller_connections"})
+    environment.out << key << ": " << dump.value(key, json()).dump() << "\n";
+  environment.out << "backend servers: "
+                  << dump.value("backends", json::array()).size() << "\n";
+  for (const json& backend : dump.value("backends", json::array()))
+    environment.out << "  " << backend.dump() << "\n";
+  return Exit::kDone;
+}
+
+// The rows of the store that a comparison needs, read one after the other.
+class StoreReader {
+ public:
+  StoreReader(const net::Address& store, std::chrono::milliseconds timeout)
+      : timeout_(timeout), client_(loop_, store) {}
+
+  // Returns the value of a row, or nothing if there is none.
+  base::Result<std::optional<std::string>> Read(const char* table,
+                                                const std::string& part,
+                                                const char* key) {
+    storage::TableAnswer answer;
+    client_.Read(table, part, key, timeout_,
+                 [&](storage::TableAnswer got) { answer = std::move(got); });
+    loop_.restart();
+    loop_.run();
+    if (answer.outcome != storage::CallOutcome::kDone)
+      return base::Error{base::Code::kStoreUnavailable,
+                         "the store: " + answer.detail};
+    for (const storage::VersionedRow& row : answer.rows) {
+      if (row.key.key == key && !row.deleted)
+        return std::optional<std::string>(row.value);
+    }
+    return std::optional<std::string>();
+  }
+
+ private:
+  const std::chrono::milliseconds timeout_;
+  boost::asio::io_context loop_;
+  platform::StoreClient client_;
+};
+
+// One account's tokens: what a gateway believes beside what is stored.
+base::Result<json> Compare(StoreReader& store,
+                           const gateway::ClientAccount& account,
+                           const json& believed) {
+  const auto row =
+      store.Read(prepaid::kTable, prepaid::kAccountPart + account.id.value(),
+                 prepaid::kTotalKey);
+  if (!base::IsOk(row))
+    return base::ErrorOf(row);
+  base::Tokens drawn = 0;
+  if (base::ValueOf(row)) {
+    const auto decoded = prepaid::DecodeAccountRow(*base::ValueOf(row));
+    if (!base::IsOk(decoded))
+      return base::ErrorOf(decoded);
+    drawn = base::ValueOf(decoded).drawn;
+  }
+  return json{{"account", account.id.value()},
+              {"prepaid", *account.prepaid},
+              {"stored_drawn", drawn},
+              {"stored_undrawn", *account.prepaid - drawn},
+              {"believed", believed.is_null() ? json::object() : believed}};
+}
+
+Exit RunPrepaid(const Invocation& invocation, Environment& environment) {
+  const auto dump = ReadGateway(environment, invocation.arguments[0]);
+  if (!base::IsOk(dump))
+    return Report(base::ErrorOf(dump), invocation, environment);
+  const auto address = net::ParseAddress(invocation.arguments[1]);
+  if (!base::IsOk(address))
+    return Report({base::Code::kBadCommandLine, base::ErrorOf(address).detail},
+                  invocation, environment);
+  StoreReader store(base::ValueOf(address), environment.timeout);
+  const auto text =
+      store.Read(platform::kDesiredStateTable, "", platform::kDesiredStateKey);
+  if (!base::IsOk(text))
+    return Report(base::ErrorOf(text), invocation, environment);
+  if (!base::ValueOf(text))
+    return Report({base::Code::kNoConfig, "the store has no configuration"},
+                  invocation, environment);
+  const auto config = platform::DecodeDesiredState(*base::ValueOf(text));
+  if (!base::IsOk(config))
+    return Report(base::ErrorOf(config), invocation, environment);
+  const json believed = base::ValueOf(dump).value("prepaid", json::object());
+  json lines = json::array();
+  for (const gateway::ClientAccount& account :
+       base::ValueOf(config)->accounts()) {
+    if (!account.prepaid)
+      continue;
+    const auto line =
+        Compare(store, account, believed.value(account.id.value(), json()));
+    if (!base::IsOk(line))
+      return Report(base::ErrorOf(line), invocation, environment);
+    lines.push_back(base::ValueOf(line));
+  }
+  if (invocation.json) {
+    environment.out << lines.dump() << "\n";
+    return Exit::kDone;
+  }
+  for (const json& line : lines) {
+    environment.out << line["account"].get<std::string>()
+                    << " prepaid=" << line["prepaid"]
+                    << " stored_drawn=" << line["stored_drawn"]
+                    << " stored_undrawn=" << line["stored_undrawn"]
+                    << " believed=" << line["believed"].dump() << "\n";
+  }
+  return Exit::kDone;
+}
+
+}  // namespace
+
+Command CheckGateway() {
+  return {"check-gateway",
+          "SETTINGS [NODE_FILE]",
+          "Checks a gateway's settings and the platform's file of an instance.",
+          1,
+          2,
+          {},
+          RunCheck};
+}
+
+Command GatewayStatus() {
+  return {
+      "gateway", "METRICS_ADDRESS", "Prints the state of one gateway.", 1, 1,
+      {},        RunGateway};
+}
+
+Command Prepaid() {
+  return {"prepaid",
+          "METRICS_ADDRESS STORE_ADDRESS",
+          "Prints each account's prepaid tokens as stored and as a gateway "
+          "believes them.",
+          2,
+          2,
+          {},
+          RunPrepaid};
+}
+
+}  // namespace dandelionmill::ctl::commands
--- a/src/dandelionmill/ctl/ctl_main.cc
+++ b/src/dandelionmill/ctl/ctl_main.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iostream>
 #include <memory>
+#include <set>
 #include <sstream>
 
 #include "dandelionmill/ctl/command.h"
@@ -102,10 +103,12 @@
   return settings::Check(CtlSchema(), text.str());
 }
 
-// Whether a command runs without any settings: it asks for help, or looks at
-// files only.
+// Whether a command runs without any settings: it asks for help, looks at files
+// only, or names the addresses that it needs.
 bool NeedsNoSettings(const std::vector<std::string>& words) {
-  return words.empty() || words[0] == "check" || words[0] == "codes" ||
+  static const std::set<std::string> commands = {
+      "check", "codes", "check-gateway", "gateway", "prepaid"};
+  return words.empty() || commands.count(words[0]) > 0 ||
          std::find(words.begin(), words.end(), "--help") != words.end();
 }
 
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -312,6 +312,16 @@
   return std::max(0.0, cost);
 }
 
+double Placement::DelayCost(const State& state,
+                            base::Tokens uncached,
+                            double late,
+                            double objective_ms) {
+  const double delay_ms = static_cast<double>(uncached) / kPromptTokensPerMs;
+  const double others = state.in_flight + state.foreign_in_flight;
+  return std::min(1.0, late) * others * delay_ms * kLateCost /
+         ((1 - kSafePart) * objective_ms);
+}
+
 void Placement::ChargeDistance(const PlacementChoice& choice,
                                const PlacementRequest& request,
                                const SharedPrompt& shared) {
@@ -341,6 +351,7 @@
         (wait_ms / objective - kSafePart) / (1 - kSafePart), 0.0, kMaxLateRisk);
     return kLateCost * late + kWaitCostPerMs * wait_ms +
            ReadAgainCost(*choice.backend, state, request, shared) +
+           DelayCost(state, choice.uncached_tokens, late, objective) +
            kFailureCost * FailureShare(state, now) +
            (choice.backend->zone == request.zone
                 ? 0
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -96,12 +96,12 @@
 // Decides which backend server gets a request: the one where it costs least.
 // The cost weighs the risk of a late answer, given the requests that this
 // instance has there and what the backend server last said about its load,
-// against shared prompt parts that would be read again, traffic between
-// availability zones, and recent failures. Each shared prompt has a home, the
-// backend server that ranks first by hash, so that instances agree on it
-// without talking; one that is asked for often from another zone is copied
-// there once the traffic has cost as much as reading it. Pure but for its
-// random tie-breaking.
+// against shared prompt parts that would be read again, the delay that reading
+// means for others on a busy backend server, traffic between availability
+// zones, and recent failures. Each shared prompt has a home, the backend server
+// that ranks first by hash, so that instances agree on it without talking; one
+// that is asked for often from another zone is copied there once the traffic
+// has cost as much as reading it. Pure but for its random tie-breaking.
 class Placement {
  public:
   explicit Placement(std::uint64_t seed, PlacementPolicy policy = ByCost())
@@ -192,6 +192,12 @@
                        const State& state,
                        const PlacementRequest& request,
                        const SharedPrompt& shared) const;
+  // Returns what reading the prompt costs the requests that are there already:
+  // nothing while answers come in time.
+  static double DelayCost(const State& state,
+                          base::Tokens uncached,
+                          double late,
+                          double objective_ms);
   // Returns the cost of a choice under `policy_`; `drawn` are the two that
   // OfTwo compares.
   double CostOf(const PlacementChoice& choice,
--- a/src/dandelionmill/prepaid/keeper.cc
+++ b/src/dandelionmill/prepaid/keeper.cc
@@ -11,14 +11,6 @@
 namespace dandelionmill::prepaid {
 namespace {
 
-constexpr char kTable[] = "prepaid";
-// Each account and each instance has a part of its own, so that their
-// transactions do not queue behind each other.
-constexpr char kAccountPart[] = "account:";
-constexpr char kInstancePart[] = "instance:";
-constexpr char kTotalKey[] = "total";
-constexpr char kHolderKey[] = "holder";
-
 // Time for a transaction over parts (twice the platform's stated time) when the
 // store is slow fifty times over.
 constexpr std::chrono::milliseconds kCommitTimeout{700};
--- a/src/dandelionmill/prepaid/rows.h
+++ b/src/dandelionmill/prepaid/rows.h
@@ -12,6 +12,14 @@
 
 namespace dandelionmill::prepaid {
 
+// Where the rows are stored. Each account and each instance has a part of its
+// own, so that their transactions do not queue behind each other.
+inline constexpr char kTable[] = "prepaid";
+inline constexpr char kAccountPart[] = "account:";
+inline constexpr char kInstancePart[] = "instance:";
+inline constexpr char kTotalKey[] = "total";
+inline constexpr char kHolderKey[] = "holder";
+
 // The stored total of one client account.
 struct AccountRow {
   // Tokens that holders have drawn and not returned. Never above the prepaid
--- a/tests/property/gateway/decoders_property.cc
+++ b/tests/property/gateway/decoders_property.cc
@@ -1,6 +1,13 @@
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <string_view>
 
+#include "dandelionmill/gateway/caller_session.h"
 #include "dandelionmill/gateway/event_framer.h"
+#include "dandelionmill/gateway/gateway_settings.h"
 #include "dandelionmill/platform/desired_state.h"
 #include "dandelionmill/platform/engine_entry.h"
 #include "dandelionmill/platform/headers.h"
@@ -9,6 +16,7 @@
 #include "dandelionmill/prepaid/rows.h"
 #include "tests/property/mutator.h"
 
+namespace http = boost::beast::http;
 namespace platform = dandelionmill::platform;
 
 namespace {
@@ -21,17 +29,45 @@
       R"({"rows":[{"key":"k","value":"YQ==","rowVersion":3}],"nowMs":1})",
       R"({"process":"p","sequence":3,"shares":{"t":[5,3,1]}})",
       "nodeName=a\nzone=b\nlisten.frontend=1.2.3.4:5\n",
-      "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"};
+      "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+      "POST /x/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      R"({"metrics_port":9464,"log_lines_per_s":400,"placement":"cost"})"};
   return samples;
 }
 
+// A number from the environment, for longer runs by command.
+std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+template <class Parser>
+void Parse(const std::string& text) {
+  Parser parser;
+  parser.eager(true);
+  parser.header_limit(4096);
+  parser.body_limit(4096);
+  boost::system::error_code error;
+  std::string_view left = text;
+  while (!left.empty() && !error && !parser.is_done()) {
+    const std::size_t used =
+        parser.put(boost::asio::buffer(left.data(), left.size()), error);
+    if (used == 0)
+      break;
+    left.remove_prefix(used);
+  }
+  dandelionmill::gateway::FindAmbiguity(parser.get());
+}
+
 }  // namespace
 
 TEST_CASE("No input makes a decoder fail other than by its result",
           "[property]") {
-  constexpr int kInputs = 20000;
-  tests::Mutator mutator(20261204);
-  for (int i = 0; i < kInputs; ++i) {
+  const std::uint64_t inputs = FromEnvironment("DANDELION_FUZZ_INPUTS", 20000);
+  tests::Mutator mutator(
+      static_cast<unsigned>(FromEnvironment("DANDELION_FUZZ_SEED", 20261204)));
+  for (std::uint64_t i = 0; i < inputs; ++i) {
     const std::string text =
         mutator.Mutate(Samples()[mutator.Below(Samples().size())]);
     platform::DecodeDesiredState(text);
@@ -41,6 +77,10 @@
     platform::ParseNodeSettings(text);
     dandelionmill::prepaid::DecodeHolderRow(text);
     dandelionmill::prepaid::DecodeAccountRow(text);
+    dandelionmill::settings::Check(dandelionmill::gateway::GatewaySchema(),
+                                   text);
+    Parse<http::request_parser<http::string_body>>(text);
+    Parse<http::response_parser<http::string_body>>(text);
     dandelionmill::gateway::EventFramer framer;
     std::vector<dandelionmill::gateway::FramedEvent> events;
     framer.Feed(text, events);
--- a/tests/sessions/operations_page/operations_page_test.cc
+++ b/tests/sessions/operations_page/operations_page_test.cc
@@ -6,6 +6,9 @@
 #include <set>
 #include <sstream>
 
+#include "dandelionmill/ctl/command.h"
+#include "standins/platform/memory_objects.h"
+#include "standins/platform/memory_table.h"
 #include "tests/soak/caller.h"
 #include "tests/soak/fleet.h"
 
@@ -47,8 +50,8 @@
 }
 
 // One gateway whose backend servers refuse half of all requests and break the
-// others off; its log after some of each kind of failure.
-std::string LogOfFailures() {
+// others off.
+soak::FleetOptions OneGateway() {
   soak::FleetOptions options;
   options.base_port = 28600;
   options.gateways = 1;
@@ -59,10 +62,20 @@
   options.folder = BINARY_DIR "/operations_page";
   std::filesystem::remove_all(options.folder);
   std::filesystem::create_directories(options.folder);
-  soak::Fleet fleet(options);
+  return options;
+}
+
+void WaitUntilReady(const soak::Fleet& fleet) {
   for (int i = 0; i < 400 && !fleet.IsReady(0); ++i)
     std::this_thread::sleep_for(std::chrono::milliseconds(25));
   REQUIRE(fleet.IsReady(0));
+}
+
+// Returns the gateway's log after some of each kind of failure.
+std::string LogOfFailures() {
+  const soak::FleetOptions options = OneGateway();
+  soak::Fleet fleet(options);
+  WaitUntilReady(fleet);
   for (int i = 0; i < 20; ++i) {
     for (const Kind kind : {Kind::kUnsafe, Kind::kResumableStream}) {
       soak::AskOnce(fleet, 0, kind,
@@ -122,3 +135,48 @@
   }
   CHECK(names > 20);
 }
+
+TEST_CASE("Operators see a gateway's state beside what is stored",
+          "[operations]") {
+  namespace ctl = dandelionmill::ctl;
+  const soak::FleetOptions options = OneGateway();
+  soak::Fleet fleet(options);
+  WaitUntilReady(fleet);
+  standins::platform::MemoryTable table;
+  standins::platform::MemoryObjects objects;
+  std::ostringstream out;
+  std::ostringstream err;
+  ctl::Environment environment{{table, objects}, {}, "", {}, "", {}, out, err};
+  environment.timeout = std::chrono::milliseconds(2000);
+  const std::string metrics =
+      "127.0.0.1:" + std::to_string(fleet.metrics_port(0));
+  const std::string store = "127.0.0.1:" + std::to_string(options.base_port);
+  SECTION("its state") {
+    CHECK(ctl::RunWords({"gateway", metrics}, environment) == ctl::Exit::kDone);
+    CHECK_THAT(out.str(), Catch::Contains("config_version: 10"));
+    CHECK_THAT(out.str(), Catch::Contains("backend servers: 2"));
+  }
+  SECTION("its prepaid tokens") {
+    CHECK(ctl::RunWords({"prepaid", metrics, store, "--json"}, environment) ==
+          ctl::Exit::kDone);
+    const auto lines = nlohmann::json::parse(out.str());
+    REQUIRE(lines.size() == 3);
+    CHECK(lines[1]["account"] == soak::kSmallAccount);
+    CHECK(lines[1]["prepaid"] == 4000);
+    CHECK(lines[1]["stored_undrawn"] == lines[1]["believed"]["undrawn"]);
+    CHECK(lines[1]["stored_drawn"].get<int>() > 0);
+  }
+  SECTION("its files") {
+    CHECK(ctl::RunWords(
+              {"check-gateway", fleet.GatewayFile(0), fleet.SettingsPath(0)},
+              environment) == ctl::Exit::kDone);
+    CHECK_THAT(out.str(), Catch::Contains("valid instance=front-0"));
+    CHECK(ctl::RunWords({"check-gateway", fleet.SettingsPath(0)},
+                        environment) == ctl::Exit::kUsage);
+    CHECK_FALSE(err.str().empty());
+  }
+  SECTION("nothing where nobody listens") {
+    CHECK(ctl::RunWords({"gateway", "127.0.0.1:1"}, environment) ==
+          ctl::Exit::kFailed);
+  }
+}
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -94,14 +94,16 @@
       gateways_(options_.gateways),
       boots_(options_.gateways) {
   Configure();
-  WriteWhole(options_.folder + "/gateway.json",
-             json{{"metrics_port", 0}, {"log_lines_per_s", 100000}}.dump());
   const int base = options_.base_port;
   for (int gateway = 0; gateway < options_.gateways; ++gateway) {
     caller_links_.push_back(std::make_unique<FaultProxy>(
         loop_, base + kCallerLinks + gateway, base + kCallers + gateway));
     store_links_.push_back(std::make_unique<FaultProxy>(
         loop_, base + kStoreLinks + gateway, base));
+    WriteWhole(GatewayFile(gateway),
+               json{{"metrics_port", metrics_port(gateway)},
+                    {"log_lines_per_s", 100000}}
+                   .dump());
     RewriteSettings(gateway);
     StartGateway(gateway);
   }
@@ -116,6 +118,14 @@
   links_.join();
 }
 
+std::string Fleet::GatewayFile(int gateway) const {
+  return options_.folder + "/gateway-" + std::to_string(gateway) + ".json";
+}
+
+int Fleet::metrics_port(int gateway) const {
+  return options_.base_port + kMetrics + gateway;
+}
+
 std::string Fleet::SettingsPath(int gateway) const {
   return options_.folder + "/node-" + std::to_string(gateway) + ".conf";
 }
@@ -141,7 +151,7 @@
   const int boot = ++boots_[gateway];
   gateways_[gateway] = std::make_unique<ChildProcess>(
       std::vector<std::string>{options_.gateway_program, "--settings",
-                               options_.folder + "/gateway.json"},
+                               GatewayFile(gateway)},
       std::vector<std::string>{"DANDELIONMILL_NODE_FILE=" +
                                SettingsPath(gateway)},
       options_.folder + "/gateway-" + std::to_string(gateway) + "-boot-" +
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -54,6 +54,10 @@
   std::optional<int> GatewayStatus(int gateway);
   int boot(int gateway) const;
   int caller_port(int gateway) const;
+  int metrics_port(int gateway) const;
+  // The platform's settings file of a gateway, and the gateway's own.
+  std::string SettingsPath(int gateway) const;
+  std::string GatewayFile(int gateway) const;
   // Asks whether it takes new connections.
   bool IsReady(int gateway) const;
   void RewriteSettings(int gateway);
@@ -90,8 +94,6 @@
     bool is_listed = false;
   };
 
-  std::string SettingsPath(int gateway) const;
-
   const FleetOptions options_;
   boost::asio::io_context loop_{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
