A gateway that has left ends without static destructors

Cause: after main the static destructors of log4cplus wait for the threads of its pool.

Ruled out: our own destructors (they run as before), open requests (`left open_requests=0`).

The soak checks that a restart ends with status 0 in its time; it passed before as well, since the wait does not show on an idle machine.

--- a/src/dandelionmill/gateway/gateway_main.cc
+++ b/src/dandelionmill/gateway/gateway_main.cc
@@ -1,5 +1,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include "dandelionmill/gateway/gateway.h"
@@ -90,6 +91,8 @@
       dandelionmill::gateway::GatewaySchema());
   if (const int* status = std::get_if<int>(&started))
     return *status;
-  return dandelionmill::gateway::Run(
-      std::get<dandelionmill::settings::Started>(started));
+  // Without static destructors: that of the logging library waits for its
+  // threads, and a process that has left should be seen to have ended.
+  std::quick_exit(dandelionmill::gateway::Run(
+      std::get<dandelionmill::settings::Started>(started)));
 }
