--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -30,11 +30,12 @@
               Handler handler) override {
     if (latency_.count() > 0) {
       // The other transactions of the meantime come first.
-      After(latency_ / 2 + WaitForParts(change),
-            [this, change = std::move(change),
-             handler = std::move(handler)]() mutable {
-              Reply(Apply(change), std::move(handler));
-            });
+      const std::chrono::milliseconds wait =
+          latency_ / 2 + WaitForParts(change);
+      After(wait, [this, change = std::move(change),
+                   handler = std::move(handler)]() mutable {
+        Reply(Apply(change), std::move(handler));
+      });
       return;
     }
     Answer answer;
--- a/tests/unit/idempotency/claim_test.cc
+++ b/tests/unit/idempotency/claim_test.cc
@@ -3,8 +3,13 @@
 #include <catch2/catch.hpp>
 #include <string>
 
-using namespace dandelionmill::
-    idempotency;  // NOLINT(google-build-using-namespace)
+using dandelionmill::idempotency::Claim;
+using dandelionmill::idempotency::ClaimMayBeTaken;
+using dandelionmill::idempotency::ClaimState;
+using dandelionmill::idempotency::ClaimVerdict;
+using dandelionmill::idempotency::JudgeClaim;
+using dandelionmill::idempotency::ParseClaim;
+using dandelionmill::idempotency::Rejected;
 namespace base = dandelionmill::base;
 
 namespace {
