--- a/tests/unit/prepaid/keeper_test.cc
+++ b/tests/unit/prepaid/keeper_test.cc
@@ -261,6 +261,85 @@
                    ReserveOutcome::kReserved) == 20);
 }
 
+// After a loss of power all instances draw for themselves at first, since the
+// owners have nothing yet.
+TEST_CASE("Owners get ahead of many instances that draw for themselves",
+          "[prepaid][herd_kill][!mayfail]") {
+  constexpr int kInstances = 80;
+  constexpr int kAccounts = 12;
+  boost::asio::io_context loop;
+  const auto work = boost::asio::make_work_guard(loop);
+  FakeTable table(loop);
+  table.SetLatency(milliseconds(8), milliseconds(8));
+  std::map<AccountId, Tokens> prepaid;
+  for (int i = 0; i < kAccounts; ++i)
+    prepaid[AccountId("account-" + std::to_string(i))] = 10000000;
+  bool owners_can_lend = false;
+  std::vector<std::unique_ptr<Keeper>> keepers;
+  for (int i = 0; i < kInstances; ++i) {
+    keepers.push_back(
+        std::make_unique<Keeper>(loop, table, "front-" + std::to_string(i),
+                                 "front-" + std::to_string(i) + "/process"));
+    Keeper::Peers peers;
+    // The first two own three accounts each.
+    const auto owner_of = [](const AccountId& account) {
+      return account.value() < "account-3" ? 0 : 1;
+    };
+    peers.is_owner = [=](const AccountId& account) {
+      return owner_of(account) == i;
+    };
+    peers.borrow = [&, owner_of](const AccountId& account, Tokens tokens,
+                                 std::function<void(Keeper::Loan)> handler) {
+      if (owners_can_lend)
+        keepers[owner_of(account)]->Lend(account, tokens, true,
+                                         std::move(handler));
+      else
+        boost::asio::post(loop,
+                          [handler = std::move(handler)] { handler({}); });
+    };
+    keepers.back()->SetPeers(std::move(peers));
+  }
+  for (int i = 2; i < kInstances; ++i)
+    keepers[i]->SetAccounts(prepaid);
+  int refused_late = 0;
+  int reserved_late = 0;
+  for (int step = 0; step < 40; ++step) {
+    owners_can_lend = step >= 6;
+    if (owners_can_lend) {
+      keepers[0]->SetAccounts(prepaid);
+      keepers[1]->SetAccounts(prepaid);
+    }
+    const bool is_late = step >= 16;
+    for (int i = 2 * kAccounts; i < kAccounts * kInstances; ++i) {
+      const AccountId account("account-" +
+                              std::to_string((i + step) % kAccounts));
+      Keeper& keeper = *keepers[i / kAccounts];
+      if (keeper.TryReserve(account, 1000)) {
+        reserved_late += is_late ? 1 : 0;
+      } else {
+        keeper.ReserveLater(kRequest, account, 1000, milliseconds(1300),
+                            [&, is_late](ReserveOutcome outcome) {
+                              int& count = outcome == ReserveOutcome::kReserved
+                                               ? reserved_late
+                                               : refused_late;
+                              count += is_late ? 1 : 0;
+                            });
+      }
+      keeper.Tick();
+    }
+    keepers[0]->Tick();
+    keepers[1]->Tick();
+    RunFor(loop, milliseconds(250));
+  }
+  for (int step = 0; step < 6; ++step) {
+    for (auto& keeper : keepers)
+      keeper->Tick();
+    RunFor(loop, milliseconds(250));
+  }
+  CHECK(refused_late == 0);
+  CHECK(reserved_late == 24 * kAccounts * (kInstances - 2));
+}
+
 TEST_CASE("Owners try on where other instances pause after conflicts",
           "[prepaid][herd_kill]") {
   boost::asio::io_context loop;
