Log why a feed of the store keeps failing and how old the configuration is

The lines could not tell an outage from an answer that does not arrive in time: store_lost came once, with the reason of the first failed call.

--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -85,34 +85,35 @@
              for (const auto& row : rows)
                OnConfigRow(row);
            },
-           [this](bool reachable, base::MonoTime, const std::string& reason) {
-             OnStoreReachabilityChanged("config", reachable, reason);
-           }}),
-      backend_follower_(loop,
-                        store_,
-                        platform::kRegistryTable,
-                        {[this](const auto& row) { OnBackendRow(row); },
-                         [this](const auto& rows) { OnBackendRows(rows); },
-                         [this](bool reachable,
-                                base::MonoTime since,
-                                const std::string& reason) {
-                           if (reachable)
-                             context_.directory.OnOutageEnded(since);
-                           OnStoreReachabilityChanged("registry", reachable,
-                                                      reason);
-                         }}),
-      crash_follower_(
+           [this](const TableFollower::Status& status) {
+             LogStoreStatus("config", status);
+           },
+           [this](base::MonoTime now) { context_.config_confirmed_at = now; }}),
+      backend_follower_(
           loop,
           store_,
-          kCrashTable,
-          {[this](const auto& row) { OnCrashRow(row); },
-           [this](const auto& rows) {
-             for (const auto& row : rows)
-               OnCrashRow(row);
+          platform::kRegistryTable,
+          {[this](const auto& row) { OnBackendRow(row); },
+           [this](const auto& rows) { OnBackendRows(rows); },
+           [this](const TableFollower::Status& status) {
+             if (status.is_reachable) {
+               context_.directory.OnOutageEnded(status.last_failed_call);
+             }
+             LogStoreStatus("registry", status);
            },
-           [this](bool reachable, base::MonoTime, const std::string& reason) {
-             OnStoreReachabilityChanged("crashes", reachable, reason);
-           }}),
+           nullptr}),
+      crash_follower_(loop,
+                      store_,
+                      kCrashTable,
+                      {[this](const auto& row) { OnCrashRow(row); },
+                       [this](const auto& rows) {
+                         for (const auto& row : rows)
+                           OnCrashRow(row);
+                       },
+                       [this](const TableFollower::Status& status) {
+                         LogStoreStatus("crashes", status);
+                       },
+                       nullptr}),
       fleet_members_(
           store_,
           {settings.instance.value(), process_id_, settings.peer_address},
@@ -318,13 +319,18 @@
                 });
 }
 
-void Gateway::OnStoreReachabilityChanged(const char* table,
-                                         bool reachable,
-                                         const std::string& reason) {
-  log::Event(reachable ? log::Level::kInfo : log::Level::kWarning,
-             reachable ? "store_regained" : "store_lost")
+void Gateway::LogStoreStatus(const char* table,
+                             const TableFollower::Status& status) {
+  const char* event = status.is_reachable  ? "store_regained"
+                      : status.has_changed ? "store_lost"
+                                           : "store_still_lost";
+  log::Event(status.is_reachable ? log::Level::kInfo : log::Level::kWarning,
+             event)
       .With("table", table)
-      .With("reason", reason);
+      .With("failed_calls", status.failed_calls)
+      .With("age_ms", status.age)
+      .With("store_version", status.version)
+      .With("reason", status.reason);
 }
 
 void Gateway::OnInstances(int count, std::vector<peer::Instance> others) {
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -54,6 +54,8 @@
   OverloadDetector overload;
   // nullptr until the first configuration has been read.
   FleetConfigPtr config;
+  // When the store last confirmed that `config` is the newest one.
+  base::MonoTime config_confirmed_at{};
   BackendDirectory directory;
   ConnectionPool pool;
   std::mt19937_64 random;
--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -125,22 +125,44 @@
   failed_call_started_ = call_started_;
   SetReachable(false, reason);
   const auto delay =
-      std::min(kMaxRetryDelay, kMinRetryDelay * (1 << consecutive_failures_));
-  consecutive_failures_ = std::min(consecutive_failures_ + 1, 3);
+      std::min(kMaxRetryDelay, kMinRetryDelay * std::min(failed_calls_, 3));
   // A new snapshot is not needed: kHistoryGone reports lost history.
   ScheduleAfter(
       delay, has_snapshot_ ? &TableFollower::Follow : &TableFollower::ReadAll);
 }
 
 void TableFollower::SetReachable(bool reachable, const std::string& reason) {
+  const bool has_changed = reachable != is_reachable_;
+  is_reachable_ = reachable;
+  if (!reachable)
+    ++failed_calls_;
+  const base::MonoTime now = std::chrono::steady_clock::now();
+  if (has_changed ||
+      (!reachable && now - last_report_ >= kFailureReportInterval))
+    ReportStatus(has_changed, reason);
   if (reachable) {
-    consecutive_failures_ = 0;
-    last_answer_ = std::chrono::steady_clock::now();
+    failed_calls_ = 0;
+    last_answer_ = now;
+    if (listener_.on_current)
+      listener_.on_current(now);
   }
-  if (reachable == is_reachable_)
-    return;
-  is_reachable_ = reachable;
-  listener_.on_reachability_changed(reachable, failed_call_started_, reason);
+}
+
+void TableFollower::ReportStatus(bool has_changed, const std::string& reason) {
+  const base::MonoTime now = std::chrono::steady_clock::now();
+  last_report_ = now;
+  Status status;
+  status.is_reachable = is_reachable_;
+  status.has_changed = has_changed;
+  status.last_failed_call = failed_call_started_;
+  status.failed_calls = failed_calls_;
+  if (last_answer_ != base::MonoTime()) {
+    status.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - last_answer_);
+  }
+  status.version = version_;
+  status.reason = reason;
+  listener_.on_status(status);
 }
 
 void TableFollower::ScheduleAfter(std::chrono::milliseconds delay,
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -20,19 +20,37 @@
 // answers are discarded and the call is repeated.
 class TableFollower {
  public:
+  // Longest time between two reports of a table that stays unreachable.
+  static constexpr std::chrono::milliseconds kFailureReportInterval{2000};
+
+  // Whether the table can be read.
+  struct Status {
+    bool is_reachable = true;
+    // Whether `is_reachable` differs from the report before.
+    bool has_changed = true;
+    // Start of the last failed call, when the store was still unreachable.
+    base::MonoTime last_failed_call{};
+    // Calls that failed since the table was last reachable.
+    int failed_calls = 0;
+    // Time since the last successful answer.
+    std::chrono::milliseconds age{0};
+    // Newest version of the store that was read.
+    std::uint64_t version = 0;
+    // Why the last call failed; empty while reachable. For logs.
+    std::string reason;
+  };
+
   struct Listener {
     // A row was added, changed or deleted.
     std::function<void(const storage::VersionedRow&)> on_row;
     // The whole partition was read. Rows that are not included have been
     // deleted.
     std::function<void(const std::vector<storage::VersionedRow>&)> on_snapshot;
-    // The store became unreachable or reachable. `since` is the start of the
-    // last failed call, when the store was still unreachable. `reason` is for
-    // logs.
-    std::function<void(bool is_reachable,
-                       base::MonoTime since,
-                       const std::string& reason)>
-        on_reachability_changed;
+    // The store became unreachable or reachable, or is still unreachable after
+    // kFailureReportInterval.
+    std::function<void(const Status&)> on_status;
+    // Optional. All changes up to `now` have been reported.
+    std::function<void(base::MonoTime now)> on_current;
   };
 
   // Follows the partition with the empty name. `loop` and `table` must outlive
@@ -60,6 +78,7 @@
   void OnChanges(storage::TableResponse answer);
   void OnFailure(const std::string& reason);
   void SetReachable(bool reachable, const std::string& reason);
+  void ReportStatus(bool has_changed, const std::string& reason);
   void ScheduleAfter(std::chrono::milliseconds delay,
                      void (TableFollower::*next)());
   void ReadAll() { snapshot_rows_.clear(), ReadPage(""); }
@@ -72,7 +91,8 @@
   bool has_snapshot_ = false;
   bool is_reachable_ = true;
   bool is_stopped_ = false;
-  int consecutive_failures_ = 0;
+  int failed_calls_ = 0;
+  base::MonoTime last_report_{};
   base::MonoTime call_started_{};
   base::MonoTime failed_call_started_{};
   base::MonoTime last_answer_{};
--- a/src/dandelionmill/platform/store_client.cc
+++ b/src/dandelionmill/platform/store_client.cc
@@ -119,7 +119,8 @@
           if (self->is_complete_)
             return;
           if (error)
-            self->OnConnectionError("read: " + error.message());
+            self->OnConnectionError("read: " + error.message() +
+                                    self->DescribeProgress());
           else
             self->OnResponse();
         });
@@ -154,7 +155,18 @@
       (*client_)->idle_.clear();
     Fail(is_sent_ ? storage::CallOutcome::kUnknown
                   : storage::CallOutcome::kNotPerformed,
-         "timeout");
+         "timeout" + DescribeProgress());
+  }
+
+  // Returns how much of the response has been received, for logs.
+  std::string DescribeProgress() const {
+    if (!is_sent_)
+      return " while connecting";
+    if (!parser_ || !parser_->is_header_done())
+      return " before a response";
+    const auto length = parser_->content_length();
+    return " after " + std::to_string(parser_->get().body().size()) + " of " +
+           (length ? std::to_string(*length) : "unknown") + " body bytes";
   }
 
   void Fail(storage::CallOutcome outcome, std::string reason) {
--- a/tests/unit/gateway/table_follower_test.cc
+++ b/tests/unit/gateway/table_follower_test.cc
@@ -18,27 +18,29 @@
   std::map<std::string, std::string> seen;
   int snapshots = 0;
   bool reachable = true;
-  TableFollower follower{
-      loop,
-      table,
-      "servers",
-      {[this](const VersionedRow& row) {
-         if (row.deleted)
-           seen.erase(row.key.key);
-         else
-           seen[row.key.key] = row.value;
-       },
-       [this](const std::vector<VersionedRow>& rows) {
-         ++snapshots;
-         seen.clear();
-         for (const VersionedRow& row : rows) {
-           if (!row.deleted)
-             seen[row.key.key] = row.value;
-         }
-       },
-       [this](bool is_reachable,
-              dandelionmill::base::MonoTime,
-              const std::string&) { reachable = is_reachable; }}};
+  std::vector<TableFollower::Status> statuses;
+  TableFollower follower{loop,
+                         table,
+                         "servers",
+                         {[this](const VersionedRow& row) {
+                            if (row.deleted)
+                              seen.erase(row.key.key);
+                            else
+                              seen[row.key.key] = row.value;
+                          },
+                          [this](const std::vector<VersionedRow>& rows) {
+                            ++snapshots;
+                            seen.clear();
+                            for (const VersionedRow& row : rows) {
+                              if (!row.deleted)
+                                seen[row.key.key] = row.value;
+                            }
+                          },
+                          [this](const TableFollower::Status& status) {
+                            reachable = status.is_reachable;
+                            statuses.push_back(status);
+                          },
+                          nullptr}};
 
   void Run(int ms = 60) {
     loop.restart();
@@ -115,3 +117,27 @@
   fixture.Run(400);
   CHECK(fixture.reachable);
 }
+
+// Guards against an outage that leaves one line at its start, so that a call
+// that fails again and again for another reason goes unseen.
+TEST_CASE("A table that stays unreachable is reported again, with the reason",
+          "[gateway]") {
+  Fixture fixture;
+  fixture.table.Put("servers", "", "a", "1");
+  fixture.follower.Start();
+  fixture.Run();
+  fixture.table.FailAll(CallOutcome::kUnknown);
+  fixture.Run(2600);
+  REQUIRE(fixture.statuses.size() == 2);
+  CHECK(fixture.statuses[0].has_changed);
+  CHECK_FALSE(fixture.statuses[1].has_changed);
+  CHECK_FALSE(fixture.statuses[1].is_reachable);
+  CHECK(fixture.statuses[1].failed_calls > fixture.statuses[0].failed_calls);
+  CHECK(fixture.statuses[1].version == 1);
+  fixture.table.FailAll(std::nullopt);
+  fixture.Run(400);
+  REQUIRE(fixture.statuses.size() == 3);
+  CHECK(fixture.statuses[2].is_reachable);
+  CHECK(fixture.statuses[2].failed_calls > 0);
+  CHECK(fixture.statuses[2].reason.empty());
+}
