--- a/standins/platform/rows_server.cc
+++ b/standins/platform/rows_server.cc
@@ -1,5 +1,6 @@
 #include "standins/platform/rows_server.h"
 
+#include <algorithm>
 #include <chrono>
 #include <stdexcept>
 #include <thread>
@@ -17,6 +18,9 @@
 constexpr int kMaxConnections = 512;
 constexpr char kJson[] = "application/json";
 
+// Bytes that are sent at once on a slow link.
+constexpr std::size_t kSlowLinkChunk = 4096;
+
 }  // namespace
 
 RowsServer::RowsServer(int port)
@@ -83,6 +87,7 @@
 void RowsServer::DiscardHistory() {
   const std::lock_guard<std::mutex> lock(mutex_);
   history_start_ = ++version_;
+  history_.clear();
   changed_.notify_all();
 }
 
@@ -98,6 +103,25 @@
 
 void RowsServer::Store(const Key& key, const std::string& value, bool deleted) {
   rows_[key] = {value, version_, deleted};
+  history_.emplace_back(key, rows_[key]);
+}
+
+void RowsServer::Respond(httplib::Response& response, std::string body) const {
+  const std::size_t rate = bytes_per_s_;
+  if (rate == 0) {
+    response.set_content(std::move(body), kJson);
+    return;
+  }
+  const std::size_t size = body.size();
+  response.set_content_provider(
+      size, kJson,
+      [body = std::move(body), rate](std::size_t offset, std::size_t length,
+                                     httplib::DataSink& sink) {
+        const std::size_t count = std::min(length, kSlowLinkChunk);
+        std::this_thread::sleep_for(
+            std::chrono::microseconds(count * std::size_t{1000000} / rate));
+        return sink.write(body.data() + offset, count);
+      });
 }
 
 json RowsServer::ToJson(const Key& key, const Row& row) const {
@@ -170,7 +194,7 @@
         std::get<2>(key) >= request.get_param_value("from") && !row.deleted)
       answer["rows"].push_back(ToJson(key, row));
   }
-  response.set_content(answer.dump(), kJson);
+  Respond(response, answer.dump());
 }
 
 void RowsServer::OnFeed(const httplib::Request& request,
@@ -182,12 +206,11 @@
       std::stoll(request.get_param_value("waitMs")));
   std::unique_lock<std::mutex> lock(mutex_);
   const auto is_discarded = [&] { return after < history_start_; };
+  const auto is_new = [&](const std::pair<Key, Row>& change) {
+    return std::get<0>(change.first) == table && change.second.version > after;
+  };
   const auto has_changes = [&] {
-    for (const auto& [key, row] : rows_) {
-      if (std::get<0>(key) == table && row.version > after)
-        return true;
-    }
-    return false;
+    return std::any_of(history_.rbegin(), history_.rend(), is_new);
   };
   changed_.wait_for(lock, wait, [&] {
     return is_stopping_ || is_down_ || is_discarded() || has_changes();
@@ -200,15 +223,13 @@
     response.status = 503;
     return;
   }
-  std::map<std::uint64_t, json> in_order;
-  for (const auto& [key, row] : rows_) {
-    if (std::get<0>(key) == table && row.version > after)
-      in_order[row.version] = ToJson(key, row);
-  }
   json answer = Envelope();
-  for (auto& [version, row] : in_order)
-    answer["rows"].push_back(std::move(row));
-  response.set_content(answer.dump(), kJson);
+  for (const auto& change : history_) {
+    if (is_new(change))
+      answer["rows"].push_back(ToJson(change.first, change.second));
+  }
+  lock.unlock();
+  Respond(response, answer.dump());
 }
 
 }  // namespace standins::platform
--- a/standins/platform/rows_server.h
+++ b/standins/platform/rows_server.h
@@ -3,6 +3,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -11,6 +12,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 #include "dandelionmill/net/http_server.h"
 
@@ -39,6 +42,9 @@
   // Discards the change history: feeds that resume from an earlier revision are
   // answered with status 410.
   void DiscardHistory();
+  // Sends the body of each answer to a read at this rate, as over a slow link;
+  // 0 for no limit.
+  void SetBytesPerSecond(std::size_t rate) { bytes_per_s_ = rate; }
 
   // Returns the value of a row, or null if the row does not exist.
   nlohmann::json Value(const std::string& table,
@@ -56,6 +62,8 @@
   void OnCommit(const httplib::Request& request, httplib::Response& response);
   void OnRead(const httplib::Request& request, httplib::Response& response);
   void OnFeed(const httplib::Request& request, httplib::Response& response);
+  // Sends the answer to a read, at the set rate.
+  void Respond(httplib::Response& response, std::string body) const;
   nlohmann::json ToJson(const Key& key, const Row& row) const;
   nlohmann::json Envelope() const;
   void Store(const Key& key, const std::string& value, bool deleted);
@@ -63,10 +71,14 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<Key, Row> rows_;
+  // Every change since `history_start_`, oldest first. A row that was changed
+  // several times is listed with each of its values.
+  std::vector<std::pair<Key, Row>> history_;
   std::uint64_t version_ = 0;
   std::uint64_t history_start_ = 0;
   bool is_down_ = false;
   bool loses_answers_ = false;
+  std::atomic<std::size_t> bytes_per_s_{0};
   bool is_stopping_ = false;
   dandelionmill::net::HttpServer server_;
 };
