Read the current configuration when the changes since take more bytes

Cause: after an outage an instance asked for all changes since its version, in a call of at most 600 ms. With 17 to 32 versions of a configuration of 250 to 300 routes that is 0.6 to several MB, which does not arrive in that time at 10 Mbit/s. It repeated the same call under the same limit while the changes grew, until the store dropped its history 20 s later. Class: a retry of work that grows under a limit that does not.

Change: a feed answer may have twice the bytes of the table as last read, or 64 KB; beyond that the client stops at the Content-Length and reads the rows as they are. The time to catch up now depends on the size of the table, not on what happened during the outage. Log lines table_behind and table_caught_up.

--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -88,6 +88,9 @@
            [this](const TableFollower::Status& status) {
              LogStoreStatus("config", status);
            },
+           [this](const TableFollower::CatchUp& catch_up) {
+             LogCatchUp("config", catch_up);
+           },
            [this](base::MonoTime now) { context_.config_confirmed_at = now; }}),
       backend_follower_(
           loop,
@@ -101,6 +104,9 @@
              }
              LogStoreStatus("registry", status);
            },
+           [this](const TableFollower::CatchUp& catch_up) {
+             LogCatchUp("registry", catch_up);
+           },
            nullptr}),
       crash_follower_(loop,
                       store_,
@@ -113,6 +119,9 @@
                        [this](const TableFollower::Status& status) {
                          LogStoreStatus("crashes", status);
                        },
+                       [this](const TableFollower::CatchUp& catch_up) {
+                         LogCatchUp("crashes", catch_up);
+                       },
                        nullptr}),
       fleet_members_(
           store_,
@@ -333,6 +342,18 @@
       .With("reason", status.reason);
 }
 
+void Gateway::LogCatchUp(const char* table,
+                         const TableFollower::CatchUp& catch_up) {
+  log::Event(log::Level::kInfo,
+             catch_up.is_complete ? "table_caught_up" : "table_behind")
+      .With("table", table)
+      .With("from_version", catch_up.from_version)
+      .With("version", catch_up.version)
+      .With("bytes", catch_up.bytes)
+      .With("duration_ms", catch_up.duration)
+      .With("reason", catch_up.reason);
+}
+
 void Gateway::OnInstances(int count, std::vector<peer::Instance> others) {
   context_.instance_count = count;
   borrower_.SetInstances(std::move(others));
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -55,6 +55,7 @@
   void OnBackendRow(const storage::VersionedRow& row);
   void OnBackendRows(const std::vector<storage::VersionedRow>& rows);
   void OnCrashRow(const storage::VersionedRow& row);
+  void LogCatchUp(const char* table, const TableFollower::CatchUp& catch_up);
   void LogStoreStatus(const char* table, const TableFollower::Status& status);
   void OnInstances(int count, std::vector<peer::Instance> others);
   void PublishCrashReports();
--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -18,6 +18,10 @@
 // one call.
 constexpr std::chrono::milliseconds kCoalesceDelay{40};
 
+// Changes up to this size are always followed; reading the partition saves
+// nothing below it.
+constexpr std::size_t kMinFeedBytes = 64 << 10;
+
 constexpr std::chrono::milliseconds kMinRetryDelay{100};
 constexpr std::chrono::milliseconds kMaxRetryDelay{250};
 
@@ -36,6 +40,23 @@
   ReadAll();
 }
 
+void TableFollower::ReadAll() {
+  snapshot_rows_.clear();
+  snapshot_bytes_ = 0;
+  ReadPage("");
+}
+
+void TableFollower::CatchUpBySnapshot(const std::string& reason) {
+  catch_up_started_ = std::chrono::steady_clock::now();
+  catch_up_from_ = version_;
+  listener_.on_catch_up({false, version_, 0, 0, {}, reason});
+  ScheduleAfter(kCoalesceDelay, &TableFollower::ReadAll);
+}
+
+std::size_t TableFollower::MaxFeedBytes() const {
+  return std::max(kMinFeedBytes, 2 * snapshot_bytes_);
+}
+
 void TableFollower::Stop() {
   is_stopped_ = true;
   timer_.cancel();
@@ -63,21 +84,33 @@
   // The next page starts after the last key, at the smallest string above it.
   const std::string next =
       has_more ? answer.rows.back().key.key + '\x01' : std::string();
+  snapshot_bytes_ += answer.bytes;
   std::move(answer.rows.begin(), answer.rows.end(),
             std::back_inserter(snapshot_rows_));
   if (has_more) {
     ReadPage(next);
     return;
   }
+  OnSnapshotRead(answer.version);
+  Follow();
+}
+
+void TableFollower::OnSnapshotRead(std::uint64_t version) {
   SetReachable(true, "");
-  version_ = answer.version;
+  version_ = version;
   has_snapshot_ = true;
   row_versions_.clear();
   for (const storage::VersionedRow& row : snapshot_rows_)
     row_versions_[row.key.key] = row.version;
   listener_.on_snapshot(snapshot_rows_);
   snapshot_rows_.clear();
-  Follow();
+  if (const auto started = std::exchange(catch_up_started_, std::nullopt)) {
+    listener_.on_catch_up(
+        {true, catch_up_from_, version_, snapshot_bytes_,
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now() - *started),
+         ""});
+  }
 }
 
 void TableFollower::Follow() {
@@ -89,15 +122,16 @@
   const std::chrono::milliseconds wait =
       is_reachable_ ? kLongPollTime : std::chrono::milliseconds(0);
   table_.Follow(table_name_, version_, wait, wait + kAnswerTimeout,
-                [this](storage::TableResponse answer) {
+                MaxFeedBytes(), [this](storage::TableResponse answer) {
                   if (!is_stopped_)
                     OnChanges(std::move(answer));
                 });
 }
 
 void TableFollower::OnChanges(storage::TableResponse answer) {
-  if (answer.outcome == storage::CallOutcome::kHistoryGone) {
-    ScheduleAfter(kCoalesceDelay, &TableFollower::ReadAll);
+  if (answer.outcome == storage::CallOutcome::kHistoryGone ||
+      answer.outcome == storage::CallOutcome::kTooLarge) {
+    CatchUpBySnapshot(storage::ToString(answer.outcome));
     return;
   }
   if (answer.outcome != storage::CallOutcome::kDone) {
@@ -126,9 +160,11 @@
   SetReachable(false, reason);
   const auto delay =
       std::min(kMaxRetryDelay, kMinRetryDelay * std::min(failed_calls_, 3));
-  // A new snapshot is not needed: kHistoryGone reports lost history.
-  ScheduleAfter(
-      delay, has_snapshot_ ? &TableFollower::Follow : &TableFollower::ReadAll);
+  // A snapshot that has begun is completed. Otherwise none is needed:
+  // kHistoryGone and kTooLarge report changes that cannot be followed.
+  ScheduleAfter(delay, has_snapshot_ && !catch_up_started_
+                           ? &TableFollower::Follow
+                           : &TableFollower::ReadAll);
 }
 
 void TableFollower::SetReachable(bool reachable, const std::string& reason) {
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,8 +17,10 @@
 
 // Follows one partition of a table: reads it once, then long-polls for changes.
 // Every call has a timeout, since a connection can fail silently. The partition
-// is read again if the store no longer has the history of changes. Stale
-// answers are discarded and the call is repeated.
+// is read again if the store no longer has the history of changes, or if the
+// changes take more bytes than the partition, so that the time to catch up does
+// not depend on how much has changed. Stale answers are discarded and the call
+// is repeated.
 class TableFollower {
  public:
   // Longest time between two reports of a table that stays unreachable.
@@ -40,6 +43,21 @@
     std::string reason;
   };
 
+  // The start or the end of a full read of the partition.
+  struct CatchUp {
+    bool is_complete = false;
+    // Version of the store from which the changes are missing.
+    std::uint64_t from_version = 0;
+    // Version that was read; 0 at the start.
+    std::uint64_t version = 0;
+    // Size of the partition as received; 0 at the start.
+    std::size_t bytes = 0;
+    // Time since the start.
+    std::chrono::milliseconds duration{0};
+    // Why the changes cannot be followed; empty at the end. For logs.
+    std::string reason;
+  };
+
   struct Listener {
     // A row was added, changed or deleted.
     std::function<void(const storage::VersionedRow&)> on_row;
@@ -49,6 +67,9 @@
     // The store became unreachable or reachable, or is still unreachable after
     // kFailureReportInterval.
     std::function<void(const Status&)> on_status;
+    // The changes since the last report can no longer be followed and the whole
+    // partition is read, or that read has completed.
+    std::function<void(const CatchUp&)> on_catch_up;
     // Optional. All changes up to `now` have been reported.
     std::function<void(base::MonoTime now)> on_current;
   };
@@ -81,7 +102,12 @@
   void ReportStatus(bool has_changed, const std::string& reason);
   void ScheduleAfter(std::chrono::milliseconds delay,
                      void (TableFollower::*next)());
-  void ReadAll() { snapshot_rows_.clear(), ReadPage(""); }
+  // Starts a full read, since the changes cannot be followed.
+  void CatchUpBySnapshot(const std::string& reason);
+  void ReadAll();
+  void OnSnapshotRead(std::uint64_t version);
+  // Largest answer with changes that is read instead of the whole partition.
+  std::size_t MaxFeedBytes() const;
 
   storage::AsyncTable& table_;
   const std::string table_name_;
@@ -97,6 +123,10 @@
   base::MonoTime failed_call_started_{};
   base::MonoTime last_answer_{};
   std::vector<storage::VersionedRow> snapshot_rows_;
+  std::size_t snapshot_bytes_ = 0;
+  // Set while a full read replaces changes that could not be followed.
+  std::optional<base::MonoTime> catch_up_started_;
+  std::uint64_t catch_up_from_ = 0;
   // Newest version seen of each row; older versions are ignored.
   std::map<std::string, std::uint64_t> row_versions_;
 };
--- a/src/dandelionmill/platform/store_client.cc
+++ b/src/dandelionmill/platform/store_client.cc
@@ -1,5 +1,6 @@
 #include "dandelionmill/platform/store_client.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,11 +42,13 @@
        bool is_commit,
        std::string target,
        std::string body,
+       std::size_t max_bytes,
        Handler handler)
       : client_(client.self_),
         loop_(client.loop_),
         store_(client.store_),
         is_commit_(is_commit),
+        max_bytes_(max_bytes),
         handler_(std::move(handler)),
         timer_(client.loop_) {
     request_.method(is_commit ? http::verb::post : http::verb::get);
@@ -112,16 +115,20 @@
 
   void Receive() {
     parser_.emplace();
-    parser_->body_limit(kMaxResponseBytes);
+    parser_->body_limit(max_bytes_);
     http::async_read(
         connection_->socket, connection_->buffer, *parser_,
         [self = shared_from_this()](error_code error, std::size_t) {
           if (self->is_complete_)
             return;
-          if (error)
+          if (error == http::error::body_limit) {
+            self->Fail(
+                storage::CallOutcome::kTooLarge,
+                "more than " + std::to_string(self->max_bytes_) + " bytes");
+          } else if (error) {
             self->OnConnectionError("read: " + error.message() +
                                     self->DescribeProgress());
-          else
+          } else
             self->OnResponse();
         });
   }
@@ -141,6 +148,7 @@
     const auto& message = parser_->get();
     storage::TableResponse response = DecodeStoreResponse(
         static_cast<int>(message.result_int()), message.body());
+    response.bytes = message.body().size();
     if (message.keep_alive() && *client_ != nullptr &&
         (*client_)->idle_.size() < kMaxIdleConnections &&
         connection_->buffer.size() == 0)
@@ -173,6 +181,7 @@
     storage::TableResponse response;
     response.outcome = outcome;
     response.detail = std::move(reason);
+    response.bytes = parser_ ? parser_->get().body().size() : 0;
     Complete(std::move(response));
   }
 
@@ -191,6 +200,7 @@
   asio::io_context& loop_;
   const net::Address store_;
   const bool is_commit_;
+  const std::size_t max_bytes_;
   Handler handler_;
   asio::steady_timer timer_;
   http::request<http::string_body> request_;
@@ -214,7 +224,7 @@
                          std::chrono::milliseconds timeout,
                          Handler handler) {
   StartCall(true, kCommitTarget, EncodeChange(change), timeout,
-            std::move(handler));
+            kMaxResponseBytes, std::move(handler));
 }
 
 void StoreClient::Read(const std::string& table,
@@ -223,26 +233,28 @@
                        std::chrono::milliseconds timeout,
                        Handler handler) {
   StartCall(false, ReadTarget(table, part, from_key), "", timeout,
-            std::move(handler));
+            kMaxResponseBytes, std::move(handler));
 }
 
 void StoreClient::Follow(const std::string& table,
                          std::uint64_t version,
                          std::chrono::milliseconds wait,
                          std::chrono::milliseconds timeout,
+                         std::size_t max_bytes,
                          Handler handler) {
   StartCall(false, FollowTarget(table, version, wait), "", timeout,
-            std::move(handler));
+            std::min(max_bytes, kMaxResponseBytes), std::move(handler));
 }
 
 void StoreClient::StartCall(bool is_commit,
                             std::string target,
                             std::string body,
                             std::chrono::milliseconds timeout,
+                            std::size_t max_bytes,
                             Handler handler) {
   ++calls_;
   std::make_shared<Call>(*this, is_commit, std::move(target), std::move(body),
-                         std::move(handler))
+                         max_bytes, std::move(handler))
       ->Start(timeout);
 }
 
--- a/src/dandelionmill/platform/store_client.h
+++ b/src/dandelionmill/platform/store_client.h
@@ -33,6 +33,7 @@
               std::uint64_t version,
               std::chrono::milliseconds wait,
               std::chrono::milliseconds timeout,
+              std::size_t max_bytes,
               Handler handler) override;
 
   // Number of calls started since construction.
@@ -46,6 +47,7 @@
                  std::string target,
                  std::string body,
                  std::chrono::milliseconds timeout,
+                 std::size_t max_bytes,
                  Handler handler);
 
   boost::asio::io_context& loop_;
--- a/src/dandelionmill/prepaid/token_pool.cc
+++ b/src/dandelionmill/prepaid/token_pool.cc
@@ -191,6 +191,7 @@
       OnCommitConflict(proposal, answer);
       break;
     case storage::CallOutcome::kUnknown:
+    case storage::CallOutcome::kTooLarge:
       in_doubt_.push_back(proposal);
       break;
     case storage::CallOutcome::kHistoryGone:
--- a/src/dandelionmill/storage/async_table.cc
+++ b/src/dandelionmill/storage/async_table.cc
@@ -10,6 +10,8 @@
       return "conflict";
     case CallOutcome::kHistoryGone:
       return "history_gone";
+    case CallOutcome::kTooLarge:
+      return "too_large";
     case CallOutcome::kNotPerformed:
       return "not_performed";
     case CallOutcome::kUnknown:
--- a/src/dandelionmill/storage/async_table.h
+++ b/src/dandelionmill/storage/async_table.h
@@ -2,6 +2,7 @@
 #define SRC_DANDELIONMILL_STORAGE_ASYNC_TABLE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -49,6 +50,8 @@
   kConflict,
   // The store has discarded the requested history.
   kHistoryGone,
+  // The response exceeds the size limit of the call.
+  kTooLarge,
   // The store did not perform the call.
   kNotPerformed,
   // No response: the call may have been performed, or may be performed later.
@@ -69,6 +72,8 @@
   std::chrono::milliseconds store_time{0};
   // Reason for an outcome other than kDone, for logs.
   std::string detail;
+  // Received bytes of the response's body, also if the call failed.
+  std::size_t bytes = 0;
 };
 
 // Asynchronous client of the platform's table service. Each handler runs once,
@@ -92,11 +97,13 @@
                     std::chrono::milliseconds timeout,
                     Handler handler) = 0;
   // Waits up to `wait` for rows of `table` that changed after `version`. Fails
-  // with kHistoryGone when the store has discarded the changes since then.
+  // with kHistoryGone when the store has discarded the changes since then, and
+  // with kTooLarge when they take more than `max_bytes`.
   virtual void Follow(const std::string& table,
                       std::uint64_t version,
                       std::chrono::milliseconds wait,
                       std::chrono::milliseconds timeout,
+                      std::size_t max_bytes,
                       Handler handler) = 0;
 };
 
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -61,8 +61,10 @@
       answer.outcome = *failing_;
     } else {
       for (const auto& [key, row] : rows_) {
-        if (std::get<0>(key) == table && std::get<1>(key) == part)
+        if (std::get<0>(key) == table && std::get<1>(key) == part) {
           answer.rows.push_back(row);
+          answer.bytes += row.value.size();
+        }
       }
       answer.version = stale_version_.value_or(version_);
     }
@@ -73,6 +75,7 @@
               std::uint64_t version,
               std::chrono::milliseconds wait,
               std::chrono::milliseconds,
+              std::size_t max_bytes,
               Handler handler) override {
     Answer answer = Done();
     if (failing_) {
@@ -81,12 +84,17 @@
       answer.outcome = Outcome::kHistoryGone;
     } else {
       for (const auto& [key, row] : rows_) {
-        if (std::get<0>(key) == table && row.version > version)
+        if (std::get<0>(key) == table && row.version > version) {
           answer.rows.push_back(row);
+          answer.bytes += row.value.size();
+        }
       }
-      if (answer.rows.empty() && wait.count() > 0) {
+      if (answer.bytes > max_bytes) {
+        answer = Answer();
+        answer.outcome = Outcome::kTooLarge;
+      } else if (answer.rows.empty() && wait.count() > 0) {
         // Held until there is something, as a long poll is.
-        followers_.push_back({table, version, std::move(handler)});
+        followers_.push_back({table, version, max_bytes, std::move(handler)});
         return;
       }
     }
@@ -156,6 +164,7 @@
   struct Follower {
     std::string table;
     std::uint64_t version;
+    std::size_t max_bytes;
     Handler handler;
   };
 
@@ -228,7 +237,7 @@
     for (auto& follower : std::exchange(followers_, {})) {
       if (follower.table == table)
         Follow(table, follower.version, std::chrono::milliseconds(1), {},
-               std::move(follower.handler));
+               follower.max_bytes, std::move(follower.handler));
       else
         followers_.push_back(std::move(follower));
     }
--- a/tests/unit/gateway/table_follower_test.cc
+++ b/tests/unit/gateway/table_follower_test.cc
@@ -19,6 +19,7 @@
   int snapshots = 0;
   bool reachable = true;
   std::vector<TableFollower::Status> statuses;
+  std::vector<TableFollower::CatchUp> catch_ups;
   TableFollower follower{loop,
                          table,
                          "servers",
@@ -40,6 +41,9 @@
                             reachable = status.is_reachable;
                             statuses.push_back(status);
                           },
+                          [this](const TableFollower::CatchUp& catch_up) {
+                            catch_ups.push_back(catch_up);
+                          },
                           nullptr}};
 
   void Run(int ms = 60) {
@@ -141,3 +145,35 @@
   CHECK(fixture.statuses[2].failed_calls > 0);
   CHECK(fixture.statuses[2].reason.empty());
 }
+
+// Guards against a follower that waits for changes which take more time to
+// arrive than a call may take, instead of reading the rows as they are.
+TEST_CASE("Changes that are larger than the table are replaced by its rows",
+          "[gateway]") {
+  Fixture fixture;
+  const std::string large(100000, 'x');
+  fixture.table.Put("servers", "", "a", large);
+  fixture.follower.Start();
+  fixture.Run();
+  fixture.table.FailAll(CallOutcome::kUnknown);
+  fixture.Run(10);
+  for (const char* key : {"b", "c", "d"})
+    fixture.table.Put("servers", "", key, large);
+  fixture.table.FailAll(std::nullopt);
+  fixture.Run(400);
+  CHECK(fixture.seen.size() == 4);
+  CHECK(fixture.snapshots == 2);
+  CHECK(fixture.reachable);
+  REQUIRE(fixture.catch_ups.size() == 2);
+  CHECK_FALSE(fixture.catch_ups[0].is_complete);
+  CHECK(fixture.catch_ups[0].from_version == 1);
+  CHECK(fixture.catch_ups[0].reason == "too_large");
+  CHECK(fixture.catch_ups[1].is_complete);
+  CHECK(fixture.catch_ups[1].version == 4);
+  CHECK(fixture.catch_ups[1].bytes == 4 * large.size());
+  // Later changes are followed.
+  fixture.table.Put("servers", "", "e", "1");
+  fixture.Run();
+  CHECK(fixture.seen["e"] == "1");
+  CHECK(fixture.snapshots == 2);
+}
