Refuse as not run what an outdated configuration does not allow

Cause: an instance answered by its configuration as if it were the newest one, although it knew that the store had not confirmed it. Class: acting finally on knowledge without regard to its age.

Change: 1.6 s after the last confirmation (a feed without changes confirms about once a second) such a refusal is 503 with code 113, 'ran: no' and Retry-After 0.3 s: the retry reaches another instance, or this one has caught up. What the configuration allows is served as before. The age counts suspension.

--- a/src/dandelionmill/base/codes.cc
+++ b/src/dandelionmill/base/codes.cc
@@ -15,6 +15,8 @@
        "Another operator changed the configuration first; review and reapply."},
       {Code::kNoConfig, "no_config", 503,
        "This instance has no configuration yet; it refuses until it has one."},
+      {Code::kConfigBehind, "config_behind", 503,
+       "This instance may lack a newer configuration that allows the request."},
       {Code::kMalformedRequest, "malformed_request", 400,
        "The request could not be parsed; correct it before sending it again."},
       {Code::kBodyTooLarge, "body_too_large", 413,
--- a/src/dandelionmill/base/codes.h
+++ b/src/dandelionmill/base/codes.h
@@ -14,6 +14,7 @@
   kBadInventory = 110,
   kConfigConflict = 111,
   kNoConfig = 112,
+  kConfigBehind = 113,
 
   kMalformedRequest = 201,
   kBodyTooLarge = 202,
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -100,15 +100,14 @@
   route_ = config_->FindRoute(request_metadata_.host,
                               {target.data(), target.size()});
   if (route_ == nullptr || route_->services.empty()) {
-    return RefuseNotRun(base::Code::kUnknownService,
-                        "no route for this host and path", std::nullopt);
+    return RefuseByConfig(base::Code::kUnknownService,
+                          "no route for this host and path");
   }
   account_ = request_metadata_.api_key.empty()
                  ? nullptr
                  : config_->FindAccountByKey(request_metadata_.api_key);
   if (config_->has_accounts() && !route_->is_public && account_ == nullptr) {
-    return RefuseNotRun(base::Code::kUnauthorized, "unknown API key",
-                        std::nullopt);
+    return RefuseByConfig(base::Code::kUnauthorized, "unknown API key");
   }
   service_ = config_->FindService(PickService(
       *route_, base::StableHash(request_metadata_.attempt.value())));
@@ -141,6 +140,15 @@
   return std::nullopt;
 }
 
+Refusal Exchange::RefuseByConfig(base::Code code,
+                                 const std::string& detail) const {
+  return context_.IsConfigCurrent()
+             ? RefuseNotRun(code, detail, std::nullopt)
+             : RefuseNotRun(base::Code::kConfigBehind,
+                            detail + " in a configuration that may be outdated",
+                            kRetryAfterNoConfig);
+}
+
 void Exchange::Reserve() {
   if (!request_metadata_.model || account_ == nullptr ||
       !context_.token_pool.HasLimit(account_->id)) {
@@ -168,9 +176,8 @@
       StartAttempt();
       return;
     case prepaid::ReserveOutcome::kExhausted:
-      Refuse(RefuseNotRun(base::Code::kBudgetExhausted,
-                          "the prepaid tokens do not cover the request",
-                          std::nullopt));
+      Refuse(RefuseByConfig(base::Code::kBudgetExhausted,
+                            "the prepaid tokens do not cover the request"));
       return;
     case prepaid::ReserveOutcome::kUnavailable:
       Refuse(RefuseNotRun(base::Code::kBudgetUnknown,
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -70,6 +70,9 @@
 
   // Returns the refusal if the request cannot be served.
   std::optional<Refusal> Validate();
+  // Returns the refusal of a request that the configuration does not allow. It
+  // is not final while a newer configuration may allow the request.
+  Refusal RefuseByConfig(base::Code code, const std::string& detail) const;
   void Reserve();
   void OnReserved(prepaid::ReserveOutcome outcome);
   // Chooses a backend server and sends the request to it.
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -91,7 +91,7 @@
            [this](const TableFollower::CatchUp& catch_up) {
              LogCatchUp("config", catch_up);
            },
-           [this](base::MonoTime now) { context_.config_confirmed_at = now; }}),
+           [this] { context_.config_confirmed_at = base::BootClock::now(); }}),
       backend_follower_(
           loop,
           store_,
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <random>
 
+#include "dandelionmill/base/boot_clock.h"
 #include "dandelionmill/gateway/backend_directory.h"
 #include "dandelionmill/gateway/connection_pool.h"
 #include "dandelionmill/gateway/crash_guard.h"
@@ -47,6 +48,14 @@
     return is_shutting_down || overload.is_overloaded();
   }
 
+  // Whether the store has confirmed lately that `config` is the newest one.
+  bool IsConfigCurrent() const {
+    return base::BootClock::now() - config_confirmed_at <= kMaxConfigAge;
+  }
+
+  // A feed without changes confirms the configuration more often than this.
+  static constexpr std::chrono::milliseconds kMaxConfigAge{1600};
+
   boost::asio::io_context& loop;
   prepaid::TokenPool& token_pool;
   const base::ZoneId zone;
@@ -54,8 +63,9 @@
   OverloadDetector overload;
   // nullptr until the first configuration has been read.
   FleetConfigPtr config;
-  // When the store last confirmed that `config` is the newest one.
-  base::MonoTime config_confirmed_at{};
+  // When the store last confirmed that `config` is the newest one. On a clock
+  // that counts the time in which the machine is suspended.
+  base::BootTime config_confirmed_at{};
   BackendDirectory directory;
   ConnectionPool pool;
   std::mt19937_64 random;
--- a/src/dandelionmill/gateway/internal/exchange_end.cc
+++ b/src/dandelionmill/gateway/internal/exchange_end.cc
@@ -72,7 +72,8 @@
       .With("service", service_ == nullptr ? "" : service_->id.value())
       .With("config", config_ ? config_->version() : 0)
       .With("config_age_ms",
-            duration_cast<milliseconds>(now - context_.config_confirmed_at))
+            duration_cast<milliseconds>(base::BootClock::now() -
+                                        context_.config_confirmed_at))
       .With("attempts", attempt_count_)
       .With("no_retry", no_retry_reason_)
       .With("outcome", outcome)
--- a/src/dandelionmill/gateway/refusal.h
+++ b/src/dandelionmill/gateway/refusal.h
@@ -35,8 +35,8 @@
 inline constexpr std::chrono::milliseconds kRetryAfterNoBackend{500};
 // The platform's store was unreachable: its shortest outages are over by then.
 inline constexpr std::chrono::milliseconds kRetryAfterNoStore{1000};
-// The instance has no configuration: it has read one by then, or the retry
-// reaches another instance.
+// The instance has no configuration or one that may be outdated: it has read
+// the newest by then, or the retry reaches another instance.
 inline constexpr std::chrono::milliseconds kRetryAfterNoConfig{300};
 // All tried backend servers were full: a running request of ordinary length has
 // ended by then.
--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -180,7 +180,7 @@
     failed_calls_ = 0;
     last_answer_ = now;
     if (listener_.on_current)
-      listener_.on_current(now);
+      listener_.on_current();
   }
 }
 
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -70,8 +70,8 @@
     // The changes since the last report can no longer be followed and the whole
     // partition is read, or that read has completed.
     std::function<void(const CatchUp&)> on_catch_up;
-    // Optional. All changes up to `now` have been reported.
-    std::function<void(base::MonoTime now)> on_current;
+    // Optional. All changes so far have been reported.
+    std::function<void()> on_current;
   };
 
   // Follows the partition with the empty name. `loop` and `table` must outlive
--- a/tests/sessions/gateway/config_catch_up_test.cc
+++ b/tests/sessions/gateway/config_catch_up_test.cc
@@ -76,3 +76,37 @@
   fleet.Start();
   CHECK(fleet.Send(Target(0)).status == 200);
 }
+
+// Guards against a final refusal (404, 401, 402) by a configuration that has
+// been replaced while the store was out of reach.
+TEST_CASE("What an outdated configuration does not allow may be sent again",
+          "[gateway]") {
+  GatewayFixture fleet(DesiredState(1, 100));
+  fleet.AddEngine("i-1", WholeAnswer);
+  const std::map<std::string, std::string> unknown_key = {
+      {"Authorization", "Bearer other"}};
+  const std::map<std::string, std::string> large = {
+      {"Model", "m"}, {"Token-Count", "1000,1000"}};
+  CHECK(fleet.Send(Target(0)).status == 404);
+  CHECK(fleet.Send("/safe/", unknown_key).status == 401);
+  CHECK(fleet.Send("/safe/", large).status == 402);
+  fleet.store.SetDown(true);
+  // Longer than a configuration counts as confirmed.
+  std::this_thread::sleep_for(milliseconds(2000));
+  for (const Received& refused :
+       {fleet.Send(Target(0)), fleet.Send("/safe/", unknown_key),
+        fleet.Send("/safe/", large)}) {
+    CHECK(refused.status == 503);
+    CHECK(refused.fields.count("Retry-After") == 1);
+    CHECK(json::parse(refused.body).at("ran") == "no");
+  }
+  // What it allows is served.
+  CHECK(fleet.Send("/safe/").status == 200);
+  json next = DesiredState(2, 100000);
+  next["tenants"][0]["apiKeys"].push_back("other");
+  fleet.store.Put("op", "config", next);
+  fleet.store.SetDown(false);
+  CHECK(IsAnsweredInTime(fleet, Target(0), 404));
+  CHECK(fleet.Send("/safe/", unknown_key).status == 200);
+  CHECK(fleet.Send("/safe/", large).status == 200);
+}
