Follow changes from the first page of a full read, and repeat one page only

Now changes are followed from the version of the first page. - A page that failed made the read begin anew; a feed answer that broke off or could not be read was requested again under the same conditions. Now the page is repeated, and the feed answer is replaced by a full read; rows known before are kept.

Evidence: three tests of the follower.

--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -37,20 +37,17 @@
       timer_(loop) {}
 
 void TableFollower::Start() {
-  ReadAll();
+  ReadNextPage();
 }
 
-void TableFollower::ReadAll() {
-  snapshot_rows_.clear();
-  snapshot_bytes_ = 0;
-  ReadPage("");
-}
-
-void TableFollower::CatchUpBySnapshot(const std::string& reason) {
+void TableFollower::BeginCatchUp(const std::string& reason) {
   catch_up_started_ = std::chrono::steady_clock::now();
   catch_up_from_ = version_;
+  snapshot_rows_.clear();
+  snapshot_bytes_ = 0;
+  snapshot_version_ = 0;
+  next_page_key_.clear();
   listener_.on_catch_up({false, version_, 0, 0, {}, reason});
-  ScheduleAfter(kCoalesceDelay, &TableFollower::ReadAll);
 }
 
 std::size_t TableFollower::MaxFeedBytes() const {
@@ -62,9 +59,9 @@
   timer_.cancel();
 }
 
-void TableFollower::ReadPage(const std::string& from_key) {
+void TableFollower::ReadNextPage() {
   call_started_ = std::chrono::steady_clock::now();
-  table_.Read(table_name_, "", from_key, kAnswerTimeout,
+  table_.Read(table_name_, "", next_page_key_, kAnswerTimeout,
               [this](storage::TableResponse answer) {
                 if (!is_stopped_)
                   OnPage(std::move(answer));
@@ -76,28 +73,30 @@
     OnFailure(answer.detail);
     return;
   }
-  if (answer.version < version_) {
+  if (answer.version < std::max(version_, snapshot_version_)) {
     OnFailure("stale read at version " + std::to_string(answer.version));
     return;
   }
   const bool has_more = answer.has_more && !answer.rows.empty();
   // The next page starts after the last key, at the smallest string above it.
-  const std::string next =
-      has_more ? answer.rows.back().key.key + '\x01' : std::string();
+  if (has_more)
+    next_page_key_ = answer.rows.back().key.key + '\x01';
+  if (snapshot_version_ == 0)
+    snapshot_version_ = answer.version;
   snapshot_bytes_ += answer.bytes;
   std::move(answer.rows.begin(), answer.rows.end(),
             std::back_inserter(snapshot_rows_));
   if (has_more) {
-    ReadPage(next);
+    ReadNextPage();
     return;
   }
-  OnSnapshotRead(answer.version);
+  OnSnapshotRead();
   Follow();
 }
 
-void TableFollower::OnSnapshotRead(std::uint64_t version) {
+void TableFollower::OnSnapshotRead() {
   SetReachable(true, "");
-  version_ = version;
+  version_ = snapshot_version_;
   has_snapshot_ = true;
   row_versions_.clear();
   for (const storage::VersionedRow& row : snapshot_rows_)
@@ -131,10 +130,14 @@
 void TableFollower::OnChanges(storage::TableResponse answer) {
   if (answer.outcome == storage::CallOutcome::kHistoryGone ||
       answer.outcome == storage::CallOutcome::kTooLarge) {
-    CatchUpBySnapshot(storage::ToString(answer.outcome));
+    BeginCatchUp(storage::ToString(answer.outcome));
+    ScheduleAfter(kCoalesceDelay, &TableFollower::ReadNextPage);
     return;
   }
   if (answer.outcome != storage::CallOutcome::kDone) {
+    // The same changes may break off again, or be malformed again.
+    if (answer.outcome == storage::CallOutcome::kUnknown && answer.bytes > 0)
+      BeginCatchUp(answer.detail);
     OnFailure(answer.detail);
     return;
   }
@@ -164,7 +167,7 @@
   // kHistoryGone and kTooLarge report changes that cannot be followed.
   ScheduleAfter(delay, has_snapshot_ && !catch_up_started_
                            ? &TableFollower::Follow
-                           : &TableFollower::ReadAll);
+                           : &TableFollower::ReadNextPage);
 }
 
 void TableFollower::SetReachable(bool reachable, const std::string& reason) {
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -93,7 +93,8 @@
   base::MonoTime last_answer() const { return last_answer_; }
 
  private:
-  void ReadPage(const std::string& from_key);
+  // Reads the next page of the partition, or repeats the one that failed.
+  void ReadNextPage();
   void OnPage(storage::TableResponse answer);
   void Follow();
   void OnChanges(storage::TableResponse answer);
@@ -102,10 +103,9 @@
   void ReportStatus(bool has_changed, const std::string& reason);
   void ScheduleAfter(std::chrono::milliseconds delay,
                      void (TableFollower::*next)());
-  // Starts a full read, since the changes cannot be followed.
-  void CatchUpBySnapshot(const std::string& reason);
-  void ReadAll();
-  void OnSnapshotRead(std::uint64_t version);
+  // Prepares a full read, since the changes cannot be followed.
+  void BeginCatchUp(const std::string& reason);
+  void OnSnapshotRead();
   // Largest answer with changes that is read instead of the whole partition.
   std::size_t MaxFeedBytes() const;
 
@@ -124,6 +124,10 @@
   base::MonoTime last_answer_{};
   std::vector<storage::VersionedRow> snapshot_rows_;
   std::size_t snapshot_bytes_ = 0;
+  // Version of the first page. Rows may change while later pages are read, so
+  // the changes are followed from here.
+  std::uint64_t snapshot_version_ = 0;
+  std::string next_page_key_;
   // Set while a full read replaces changes that could not be followed.
   std::optional<base::MonoTime> catch_up_started_;
   std::uint64_t catch_up_from_ = 0;
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -53,15 +54,23 @@
 
   void Read(const std::string& table,
             const std::string& part,
-            const std::string&,
+            const std::string& from_key,
             std::chrono::milliseconds,
             Handler handler) override {
+    ++reads_;
     Answer answer = Done();
     if (failing_) {
       answer.outcome = *failing_;
+    } else if (failing_read_ && reads_ == *failing_read_) {
+      answer.outcome = Outcome::kUnknown;
     } else {
       for (const auto& [key, row] : rows_) {
-        if (std::get<0>(key) == table && std::get<1>(key) == part) {
+        if (std::get<0>(key) == table && std::get<1>(key) == part &&
+            std::get<2>(key) >= from_key && !row.deleted) {
+          if (answer.rows.size() == page_rows_) {
+            answer.has_more = true;
+            break;
+          }
           answer.rows.push_back(row);
           answer.bytes += row.value.size();
         }
@@ -69,6 +78,8 @@
       answer.version = stale_version_.value_or(version_);
     }
     Reply(std::move(answer), std::move(handler));
+    if (after_read_)
+      after_read_(reads_);
   }
 
   void Follow(const std::string& table,
@@ -80,6 +91,11 @@
     Answer answer = Done();
     if (failing_) {
       answer.outcome = *failing_;
+    } else if (break_next_feed_) {
+      break_next_feed_ = false;
+      answer = Answer();
+      answer.bytes = 1;
+      answer.detail = "broken off";
     } else if (version < history_begin_) {
       answer.outcome = Outcome::kHistoryGone;
     } else {
@@ -148,6 +164,17 @@
     latency_ = latency;
     service_ = service;
   }
+  // Reads return this number of rows at a time.
+  void SetPageRows(std::size_t rows) { page_rows_ = rows; }
+  // The read with this number, counted from 1, fails.
+  void FailRead(int number) { failing_read_ = number; }
+  // Calls `action` with the number of each read once its answer is determined.
+  void AfterRead(std::function<void(int)> action) {
+    after_read_ = std::move(action);
+  }
+  // The answer to the next feed call breaks off after its first byte.
+  void BreakNextFeed() { break_next_feed_ = true; }
+  int reads() const { return reads_; }
   void ForgetHistory() { history_begin_ = ++version_; }
   void AnswerReadsWithVersion(std::optional<std::uint64_t> version) {
     stale_version_ = version;
@@ -254,6 +281,11 @@
   std::optional<Outcome> failing_;
   std::optional<bool> lose_performed_;
   int conflicts_ = 0;
+  std::size_t page_rows_ = 500;
+  int reads_ = 0;
+  std::optional<int> failing_read_;
+  std::function<void(int)> after_read_;
+  bool break_next_feed_ = false;
   int generation_ = 0;
   std::chrono::milliseconds latency_{0};
   std::chrono::milliseconds service_{0};
--- a/tests/unit/gateway/table_follower_test.cc
+++ b/tests/unit/gateway/table_follower_test.cc
@@ -177,3 +177,61 @@
   CHECK(fixture.seen["e"] == "1");
   CHECK(fixture.snapshots == 2);
 }
+
+// Guards against a read of several pages that takes the version of its last one
+// and so never sees what changed on an earlier page meanwhile.
+TEST_CASE("A change on a page that has been read is not missed", "[gateway]") {
+  Fixture fixture;
+  fixture.table.SetPageRows(2);
+  for (const char* key : {"a", "b", "c", "d", "e"})
+    fixture.table.Put("servers", "", key, "1");
+  fixture.table.AfterRead([&fixture](int number) {
+    if (number != 1)
+      return;
+    fixture.table.Put("servers", "", "a", "2");
+    fixture.table.Delete("servers", "b");
+    fixture.table.Put("servers", "", "d", "2");
+  });
+  fixture.follower.Start();
+  fixture.Run(300);
+  CHECK(fixture.snapshots == 1);
+  CHECK(fixture.seen == std::map<std::string, std::string>{
+                            {"a", "2"}, {"c", "1"}, {"d", "2"}, {"e", "1"}});
+}
+
+// Guards against a full read that begins anew whenever one of its calls fails,
+// so that a large table is never read over a bad link.
+TEST_CASE("A full read goes on with the page that failed", "[gateway]") {
+  Fixture fixture;
+  fixture.table.SetPageRows(1);
+  for (const char* key : {"a", "b", "c"})
+    fixture.table.Put("servers", "", key, "1");
+  fixture.table.FailRead(2);
+  fixture.follower.Start();
+  fixture.Run(400);
+  CHECK(fixture.seen.size() == 3);
+  CHECK(fixture.table.reads() == 4);
+}
+
+// Guards against a feed answer that breaks off or cannot be read and is
+// requested again without end.
+TEST_CASE("After a broken feed answer the rows are kept and read again",
+          "[gateway]") {
+  Fixture fixture;
+  fixture.table.Put("servers", "", "a", "1");
+  fixture.follower.Start();
+  fixture.Run();
+  fixture.table.FailAll(CallOutcome::kNotPerformed);
+  fixture.Run(10);
+  fixture.table.Put("servers", "", "b", "1");
+  fixture.table.BreakNextFeed();
+  fixture.table.FailAll(std::nullopt);
+  fixture.Run(130);
+  CHECK(fixture.seen.count("a") == 1);
+  REQUIRE(fixture.catch_ups.size() == 1);
+  CHECK(fixture.catch_ups[0].reason == "broken off");
+  fixture.Run(400);
+  CHECK(fixture.seen.size() == 2);
+  CHECK(fixture.snapshots == 2);
+  CHECK(fixture.reachable);
+}
