Order the events of the shutdown test by events

The test was at fault: the scripted backend server counts its pause of 3.5 s in 700 sleeps of 5 ms without regard to the clock, so each sleep that ends late lengthens it, and the route limit of 4 s ends the held request.

Now the held response goes on once the late request is answered, the shutdown starts once the backend server has the held request, and the 2950 ms count from the start of the shutdown in the gateway, as a lower bound. Grace and deadlines are 20 s and 30 s, so that the late request still outlives the process. The test checks in addition that the late request reaches no backend server, that the process is up until then, that the held response is complete and that the process leaves after it.

--- a/standins/backend/scripted_engine.cc
+++ b/standins/backend/scripted_engine.cc
@@ -89,9 +89,12 @@
 bool ScriptedEngine::Play(tcp::socket& socket, const Answer& answer) {
   error_code error;
   for (const Step& step : answer.steps) {
+    const auto is_paused = [&step](std::chrono::milliseconds waited) {
+      return waited < step.pause_before ||
+             (step.is_released && !step.is_released());
+    };
     for (auto waited = std::chrono::milliseconds(0);
-         waited < step.pause_before && !is_stopping_;
-         waited += kPeerCheckInterval) {
+         is_paused(waited) && !is_stopping_; waited += kPeerCheckInterval) {
       std::this_thread::sleep_for(kPeerCheckInterval);
       char byte = 0;
       const ssize_t count =
--- a/standins/backend/scripted_engine.h
+++ b/standins/backend/scripted_engine.h
@@ -27,6 +27,8 @@
   struct Step {
     std::string bytes;
     std::chrono::milliseconds pause_before{0};
+    // If set, the pause also lasts until this returns true.
+    std::function<bool()> is_released = nullptr;
   };
   struct Answer {
     std::vector<Step> steps;
--- a/tests/sessions/gateway/gateway_fixture.cc
+++ b/tests/sessions/gateway/gateway_fixture.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <future>
 
 namespace gateway_test {
 namespace {
@@ -31,7 +32,7 @@
   settings.readiness = {"127.0.0.1", kReadyPort};
   settings.store = {"127.0.0.1", kStorePort};
   settings.peer_address = {"127.0.0.1", kPeerPort};
-  settings.shutdown_grace = milliseconds(5000);
+  settings.shutdown_grace = shutdown_grace_;
   loop_ = std::make_unique<asio::io_context>(1);
   gateway_ = std::make_unique<gateway::Gateway>(*loop_, settings,
                                                 gateway::Gateway::Options());
@@ -49,12 +50,15 @@
 }
 
 void GatewayFixture::Shutdown() {
-  asio::post(*loop_, [this] {
+  const auto begun = std::make_shared<std::promise<void>>();
+  asio::post(*loop_, [this, begun] {
     gateway_->Shutdown([this] {
       has_left = true;
       loop_->stop();
     });
+    begun->set_value();
   });
+  REQUIRE(begun->get_future().wait_for(kPatience) == std::future_status::ready);
 }
 
 bool GatewayFixture::IsReady() {
--- a/tests/sessions/gateway/gateway_fixture.h
+++ b/tests/sessions/gateway/gateway_fixture.h
@@ -75,7 +75,9 @@
 // A gateway process in a thread, with a stand-in store and engines.
 class GatewayFixture {
  public:
-  explicit GatewayFixture(json state = DesiredState(1)) : store(kStorePort) {
+  explicit GatewayFixture(json state = DesiredState(1),
+                          milliseconds shutdown_grace = milliseconds(5000))
+      : store(kStorePort), shutdown_grace_(shutdown_grace) {
     store.Put("op", "config", state);
     Start();
   }
@@ -83,7 +85,7 @@
 
   void Start();
   void Stop();
-  // Asks the process to leave; returns when it has, or after the grace.
+  // Starts the shutdown of the gateway and returns once it has begun.
   void Shutdown();
   bool IsReady();
   // Registers an engine that answers as the script says.
@@ -104,6 +106,7 @@
   std::unique_ptr<boost::asio::io_context> loop_;
   std::unique_ptr<gateway::Gateway> gateway_;
   std::thread thread_;
+  const milliseconds shutdown_grace_;
   int next_port_ = kFirstEnginePort;
   int next_attempt_ = 1;
 };
--- a/tests/sessions/gateway/requests_test.cc
+++ b/tests/sessions/gateway/requests_test.cc
@@ -1,3 +1,5 @@
+#include <future>
+
 #include "tests/sessions/gateway/gateway_fixture.h"
 
 using namespace gateway_test;  // NOLINT(google-build-using-namespace)
@@ -317,28 +319,53 @@
         2 * 915);
 }
 
+// Guards against a request that is accepted late in a shutdown and truncated by
+// the end of the process.
 TEST_CASE("A request that a shutdown would cut is refused as not run",
           "[gateway]") {
+  // Requests in progress are failed 19 s after the start of the shutdown, and
+  // the callers' deadline is later than that.
+  constexpr milliseconds kShutdownGrace{20000};
+  constexpr int kDeadlineMs = 30000;
+  // Every request is accepted for 2800 ms from the start of the shutdown.
+  constexpr milliseconds kPastNewRequestTime{2950};
   json state = DesiredState(1);
   for (const std::size_t route : {1, 3})
-    state["routes"][route]["timeoutMs"] = 4000;
-  GatewayFixture fleet(state);
-  fleet.AddEngine("i-1", [](const Request& request) {
-    Answer answer = Stream(request, 3, Answer::Then::kKeep);
-    answer.steps[2].pause_before = milliseconds(3500);
-    return answer;
+    state["routes"][route]["timeoutMs"] = kDeadlineMs;
+  const std::string deadline = std::to_string(kDeadlineMs);
+  std::atomic<bool> is_late_answered{false};
+  GatewayFixture fleet(state, kShutdownGrace);
+  ScriptedEngine& engine =
+      fleet.AddEngine("i-1", [&is_late_answered](const Request& request) {
+        Answer answer = Stream(request, 3, Answer::Then::kKeep);
+        answer.steps[2].is_released = [&is_late_answered] {
+          return is_late_answered.load();
+        };
+        return answer;
+      });
+  // A response in progress keeps the process running after its last new
+  // request.
+  std::future<Received> held_future = std::async(std::launch::async, [&] {
+    auto fields = kTokens;
+    fields["Deadline-Milliseconds"] = deadline;
+    return fleet.Send("/single/", fields);
   });
-  // An answer under way keeps the process up past its last new request.
-  Received held;
-  std::thread caller([&] { held = fleet.Send("/single/", kTokens); });
-  std::this_thread::sleep_for(milliseconds(200));
+  fleet.WaitUntil([&engine] { return !engine.requests().empty(); });
   fleet.Shutdown();
-  std::this_thread::sleep_for(milliseconds(2950));
-  const Received late = fleet.Send("/once/");
-  caller.join();
-  CHECK(held.body == EventsTo(3));
+  std::this_thread::sleep_for(kPastNewRequestTime);
+  const Received late =
+      fleet.Send("/once/", {{"Deadline-Milliseconds", deadline}});
+  const bool has_left_early = fleet.has_left;
+  is_late_answered = true;
+  const Received held = held_future.get();
   CHECK(late.status == 503);
   CHECK(late.fields.count("Retry-After") == 1);
+  CHECK(engine.requests().size() == 1);
+  CHECK_FALSE(has_left_early);
+  CHECK(held.status == 200);
+  CHECK(held.body == EventsTo(3));
+  CHECK_FALSE(held.is_cut);
+  fleet.WaitUntil([&fleet] { return fleet.has_left.load(); });
 }
 
 TEST_CASE("A request that may run once is sent once, whatever the route allows",
