Log the first full read of a table and the size of a configuration

Asked by a finding: on route-new-small an instance read a feed answer of 600 KB although its limit should have been two tables, and no line said how large the table had been at its last read.

--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -241,6 +241,7 @@
       .With("routes", config->routes().size())
       .With("accounts", config->accounts().size())
       .With("prepaid_total", prepaid_total)
+      .With("bytes", row.value.size())
       .With("row_version", row.version);
   context_.config = config;
   context_.metrics.OnConfigVersion(
--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -37,6 +37,7 @@
       timer_(loop) {}
 
 void TableFollower::Start() {
+  catch_up_started_ = std::chrono::steady_clock::now();
   ReadNextPage();
 }
 
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -68,7 +68,7 @@
     // kFailureReportInterval.
     std::function<void(const Status&)> on_status;
     // The changes since the last report can no longer be followed and the whole
-    // partition is read, or that read has completed.
+    // partition is read, or that read or the first one has completed.
     std::function<void(const CatchUp&)> on_catch_up;
     // Optional. All changes so far have been reported.
     std::function<void()> on_current;
@@ -128,7 +128,8 @@
   // the changes are followed from here.
   std::uint64_t snapshot_version_ = 0;
   std::string next_page_key_;
-  // Set while a full read replaces changes that could not be followed.
+  // Set during the first full read, and while one replaces changes that could
+  // not be followed.
   std::optional<base::MonoTime> catch_up_started_;
   std::uint64_t catch_up_from_ = 0;
   // Newest version seen of each row; older versions are ignored.
--- a/tests/unit/gateway/table_follower_test.cc
+++ b/tests/unit/gateway/table_follower_test.cc
@@ -164,13 +164,16 @@
   CHECK(fixture.seen.size() == 4);
   CHECK(fixture.snapshots == 2);
   CHECK(fixture.reachable);
-  REQUIRE(fixture.catch_ups.size() == 2);
-  CHECK_FALSE(fixture.catch_ups[0].is_complete);
-  CHECK(fixture.catch_ups[0].from_version == 1);
-  CHECK(fixture.catch_ups[0].reason == "too_large");
-  CHECK(fixture.catch_ups[1].is_complete);
-  CHECK(fixture.catch_ups[1].version == 4);
-  CHECK(fixture.catch_ups[1].bytes == 4 * large.size());
+  // The first one reports the read at the start.
+  REQUIRE(fixture.catch_ups.size() == 3);
+  CHECK(fixture.catch_ups[0].is_complete);
+  CHECK(fixture.catch_ups[0].bytes == large.size());
+  CHECK_FALSE(fixture.catch_ups[1].is_complete);
+  CHECK(fixture.catch_ups[1].from_version == 1);
+  CHECK(fixture.catch_ups[1].reason == "too_large");
+  CHECK(fixture.catch_ups[2].is_complete);
+  CHECK(fixture.catch_ups[2].version == 4);
+  CHECK(fixture.catch_ups[2].bytes == 4 * large.size());
   // Later changes are followed.
   fixture.table.Put("servers", "", "e", "1");
   fixture.Run();
@@ -228,8 +231,8 @@
   fixture.table.FailAll(std::nullopt);
   fixture.Run(130);
   CHECK(fixture.seen.count("a") == 1);
-  REQUIRE(fixture.catch_ups.size() == 1);
-  CHECK(fixture.catch_ups[0].reason == "broken off");
+  REQUIRE(fixture.catch_ups.size() == 2);
+  CHECK(fixture.catch_ups[1].reason == "broken off");
   fixture.Run(400);
   CHECK(fixture.seen.size() == 2);
   CHECK(fixture.snapshots == 2);
