Let the scripted engine send bytes without end

A step can repeat its bytes until the peer closes the connection, up to 256 MB, so that a test of a gateway that reads without limit still ends. The double counts these bytes.

--- a/standins/backend/scripted_engine.cc
+++ b/standins/backend/scripted_engine.cc
@@ -16,6 +16,9 @@
 
 constexpr std::chrono::milliseconds kPeerCheckInterval{5};
 
+// Least bytes of one write of a repeating step.
+constexpr std::size_t kRepeatWriteBytes = 65536;
+
 std::string CommonHeaders(const ScriptedEngine::Request& request) {
   return "Attempt-Id: " + std::string(request["Attempt-Id"]) +
          "\r\nServer-Signature: proof\r\nServer-Load: 1,0,8\r\n";
@@ -101,6 +104,11 @@
         return false;
       }
     }
+    if (step.repeats) {
+      if (!Repeat(socket, step.bytes))
+        return false;
+      continue;
+    }
     asio::write(socket, asio::buffer(step.bytes), error);
     if (error)
       return false;
@@ -113,6 +121,23 @@
   return false;
 }
 
+bool ScriptedEngine::Repeat(tcp::socket& socket, const std::string& bytes) {
+  std::string block;
+  while (block.size() < kRepeatWriteBytes)
+    block += bytes;
+  for (std::uint64_t sent = 0; sent < kMaxRepeatedBytes;) {
+    error_code error;
+    const std::size_t count = asio::write(socket, asio::buffer(block), error);
+    sent += count;
+    repeated_bytes_ += count;
+    if (error) {
+      ++aborted_connections_;
+      return false;
+    }
+  }
+  return true;
+}
+
 ScriptedEngine::Answer ScriptedEngine::CompleteAnswer(const Request& request,
                                                       int status,
                                                       const std::string& body) {
--- a/standins/backend/scripted_engine.h
+++ b/standins/backend/scripted_engine.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -23,10 +24,16 @@
  public:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
+  // Most bytes that a repeating step sends.
+  static constexpr std::uint64_t kMaxRepeatedBytes = 256 << 20;
+
   // Part of an answer, sent after a pause.
   struct Step {
     std::string bytes;
     std::chrono::milliseconds pause_before{0};
+    // Sends `bytes` again and again until the peer closes the connection or
+    // kMaxRepeatedBytes are sent.
+    bool repeats = false;
   };
   struct Answer {
     std::vector<Step> steps;
@@ -45,8 +52,11 @@
 
   // Returns all requests received, oldest first.
   std::vector<Request> requests() const;
-  // Number of connections that the peer closed during a pause in an answer.
+  // Number of connections that the peer closed during a pause in an answer or
+  // during a repeating step.
   int aborted_connections() const { return aborted_connections_; }
+  // Bytes that repeating steps have sent on all connections.
+  std::uint64_t repeated_bytes() const { return repeated_bytes_; }
 
   // Returns an answer with a Content-Length, the request's attempt id and a
   // Server-Signature header as proof of execution.
@@ -64,6 +74,8 @@
   void Serve(boost::asio::ip::tcp::socket& socket);
   // Sends an answer. Returns false if the connection was closed.
   bool Play(boost::asio::ip::tcp::socket& socket, const Answer& answer);
+  // Sends `bytes` repeatedly. Returns false if the connection was closed.
+  bool Repeat(boost::asio::ip::tcp::socket& socket, const std::string& bytes);
 
   boost::asio::io_context loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -71,6 +83,7 @@
   Script script_;
   std::vector<Request> requests_;
   std::atomic<int> aborted_connections_{0};
+  std::atomic<std::uint64_t> repeated_bytes_{0};
   std::atomic<bool> is_stopping_{false};
   std::list<boost::asio::ip::tcp::socket> sockets_;
   std::list<std::thread> threads_;
--- /dev/null
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -0,0 +1,182 @@
+#include <algorithm>
+#include <array>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "tests/sessions/gateway/gateway_fixture.h"
+
+// Backend servers in trouble whose answers do not end. The timeouts are so long
+// that a status of 504 shows an answer that came only with the deadline.
+
+using namespace gateway_test;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+// Bytes of one answer that the gateway and the kernel's buffers may accept
+// before the gateway stops reading. Far below what a repeating step sends.
+constexpr std::uint64_t kMaxAcceptedBytes = 96 << 20;
+
+const std::map<std::string, std::string> kLongDeadline = {
+    {"Deadline-Milliseconds", "4000"}};
+
+const std::map<std::string, std::string> kTokens = {
+    {"Model", "m"},
+    {"Token-Count", "900,100"},
+    {"Prompt-Prefix", "a:900"},
+    {"Deadline-Milliseconds", "4000"}};
+
+// Silence does not end an attempt within the timeout of these routes.
+json PatientState() {
+  json state = DesiredState(1);
+  for (json& route : state["routes"]) {
+    route["timeoutMs"] = 4000;
+    route["targetLatencyMs"] = 4000;
+  }
+  return state;
+}
+
+std::string AttemptField(const Request& request) {
+  return "Attempt-Id: " + std::string(request["Attempt-Id"]) + "\r\n";
+}
+
+std::string Chunk(std::size_t size) {
+  std::array<char, 16> length{};
+  std::snprintf(length.data(), length.size(), "%zx\r\n", size);
+  return length.data() + std::string(size, 'x') + "\r\n";
+}
+
+// Compare texts that are too long for Catch2 to print.
+bool Equals(const std::string& text, const std::string& expected) {
+  return text == expected;
+}
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// An answer whose last part never ends.
+Answer Endless(const std::string& begin, const std::string& repeated) {
+  return {{{begin}, {repeated, milliseconds(0), true}}};
+}
+
+// A chunked answer with the given head fields whose body never ends.
+Answer EndlessBody(const std::string& status, const std::string& fields) {
+  return Endless("HTTP/1.1 " + status + " X\r\n" + fields +
+                     "Transfer-Encoding: chunked\r\n\r\n",
+                 Chunk(16000));
+}
+
+// Sends a request that may run once. Its answer must be a failure at once, with
+// no statement that it did not run, and the backend server must be left.
+void CheckFailsAtOnce(const ScriptedEngine::Script& script) {
+  GatewayFixture fleet(PatientState());
+  ScriptedEngine& engine = fleet.AddEngine("i-1", script);
+  const Received received = fleet.Send("/once/", kLongDeadline);
+  CHECK(received.status == 502);
+  CHECK_FALSE(received.is_cut);
+  CHECK(Contains(received.body, "\"ran\":\"maybe\""));
+  CHECK(engine.requests().size() == 1);
+  fleet.WaitUntil([&engine] { return engine.aborted_connections() == 1; });
+  CHECK(engine.repeated_bytes() < kMaxAcceptedBytes);
+}
+
+// A caller that sends a request and reads only when it is told to.
+class SlowCaller {
+ public:
+  explicit SlowCaller(const std::string& target) : socket_(loop_) {
+    const boost::asio::ip::tcp::endpoint gateway(
+        boost::asio::ip::make_address("127.0.0.1"), kCallerPort);
+    socket_.open(gateway.protocol());
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(65536));
+    socket_.connect(gateway);
+    const std::string text =
+        "POST " + target +
+        " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: slow\r\n"
+        "Authorization: Bearer secret\r\nDeadline-Milliseconds: 4000\r\n"
+        "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(socket_, boost::asio::buffer(text));
+  }
+
+  std::string ReadToEnd() {
+    std::string all;
+    boost::system::error_code error;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(all), error);
+    return all;
+  }
+
+ private:
+  boost::asio::io_context loop_;
+  boost::asio::ip::tcp::socket socket_;
+};
+
+}  // namespace
+
+// Guards against a limit on interim responses that breaks proper answers.
+TEST_CASE("A few interim responses are skipped", "[gateway]") {
+  GatewayFixture fleet;
+  fleet.AddEngine("i-1", [](const Request& request) {
+    Answer answer = ScriptedEngine::CompleteAnswer(request, 200, "answer");
+    for (int i = 0; i < 8; ++i)
+      answer.steps[0].bytes.insert(0, "HTTP/1.1 102 Processing\r\n\r\n");
+    return answer;
+  });
+  const Received received = fleet.Send("/once/");
+  CHECK(received.status == 200);
+  CHECK(received.body == "answer");
+}
+
+// Guards against a long body that stops once its caller has read slowly.
+TEST_CASE("A long body reaches a caller that reads slowly as a whole",
+          "[gateway]") {
+  GatewayFixture fleet(PatientState());
+  const std::string body(48 << 20, 'b');
+  fleet.AddEngine("i-1", [&body](const Request& request) {
+    return ScriptedEngine::CompleteAnswer(request, 200, body);
+  });
+  SlowCaller caller("/once/");
+  std::this_thread::sleep_for(milliseconds(500));
+  const std::string answer = caller.ReadToEnd();
+  REQUIRE(answer.size() > body.size());
+  CHECK(Contains(answer.substr(0, 16), "HTTP/1.1 200"));
+  CHECK(Contains(answer.substr(answer.size() - 7), "\r\n0\r\n\r\n"));
+  CHECK(std::count(answer.begin(), answer.end(), 'b') >=
+        static_cast<std::ptrdiff_t>(body.size()));
+}
+
+// Guards against bytes after a complete response that are taken for the next
+// response, or read from an idle connection.
+TEST_CASE("Bytes without end after a response reach no other request",
+          "[gateway]") {
+  GatewayFixture fleet;
+  const milliseconds pause = GENERATE(milliseconds(0), milliseconds(50));
+  ScriptedEngine& engine =
+      fleet.AddEngine("i-1", [pause](const Request& request) {
+        Answer answer = ScriptedEngine::CompleteAnswer(request, 200, "answer");
+        answer.steps.push_back({"HTTP/1.1 200 OK\r\n\r\n", pause, true});
+        return answer;
+      });
+  CHECK(fleet.Send("/once/").body == "answer");
+  // The bytes are on the connection, or it is closed, before the next request.
+  fleet.WaitUntil([&engine] {
+    return engine.repeated_bytes() > 0 || engine.aborted_connections() > 0;
+  });
+  const Received second = fleet.Send("/once/");
+  CHECK(second.status == 200);
+  CHECK(second.body == "answer");
+  fleet.WaitUntil([&engine] { return engine.aborted_connections() >= 1; });
+  CHECK(engine.repeated_bytes() < 2 * kMaxAcceptedBytes);
+}
+
+// Guards against an event without end that is buffered or waited for.
+TEST_CASE("A stream with an endless event ends cut at once", "[gateway]") {
+  GatewayFixture fleet(PatientState());
+  ScriptedEngine& engine = fleet.AddEngine("i-1", [](const Request& request) {
+    return Endless(
+        ScriptedEngine::StreamHead(request) + ScriptedEngine::EventChunk(1),
+        Chunk(16000));
+  });
+  const Received received = fleet.Send("/single/", kTokens);
+  CHECK(received.is_cut);
+  CHECK(Equals(received.body, "id: 1\ndata: e1\n\n"));
+  fleet.WaitUntil([&engine] { return engine.aborted_connections() == 1; });
+  CHECK(engine.repeated_bytes() < kMaxAcceptedBytes);
+}
