Limit the interim responses that are skipped

Callers waited until the deadline and got 504 when a backend server sent interim (1xx) responses without end; the gateway read them all.

Cause: BackendCall::Parse starts a new parser after each interim response and does not count them. The call now fails after 16, which retries or refuses the request like any other broken answer.

Evidence: "Interim responses without end fail the request at once" failed before with `504 == 502` (deadline 4 s); the connection was not closed before all 256 MB were read. It passes now.

--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -23,6 +23,9 @@
 // closed.
 constexpr int kMaxStaleResponses = 2;
 
+// Interim (1xx) responses that are skipped before the connection is closed.
+constexpr int kMaxInterimResponses = 16;
+
 }  // namespace
 
 BackendCall::BackendCall(ConnectionPool& pool,
@@ -143,6 +146,11 @@
       return false;
     }
     // An interim (1xx) response, or one to an earlier request.
+    if (!is_stale_response_ &&
+        ++interim_response_count_ > kMaxInterimResponses) {
+      Fail("too many interim responses");
+      return false;
+    }
     ResetParser();
     if (connection_->buffer.size() == 0)
       return true;
--- a/tests/sessions/gateway/endless_bytes_test.cc
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -110,6 +110,14 @@
 
 }  // namespace
 
+// Guards against reading interim responses without end until the deadline.
+TEST_CASE("Interim responses without end fail the request at once",
+          "[gateway]") {
+  CheckFailsAtOnce([](const Request&) {
+    return Endless("", "HTTP/1.1 102 Processing\r\n\r\n");
+  });
+}
+
 // Guards against a limit on interim responses that breaks proper answers.
 TEST_CASE("A few interim responses are skipped", "[gateway]") {
   GatewayFixture fleet;
