End an attempt at the head of an unsigned success

A 2xx response without a signature is never passed on. When its body did not end, callers still waited until the deadline and got 504.

Cause: Exchange dropped the body bytes but judged the response only once it was complete. It now ends the attempt and closes the connection at the head, where the missing signature is known. The check at the end is gone, since no such response gets there.

--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -50,13 +50,13 @@
       status == 200 && IsStream(route_->kind) &&
       boost::algorithm::istarts_with(fields[http::field::content_type],
                                      "text/event-stream");
+  const bool is_success = status >= 200 && status < 300;
+  if (is_success && !metadata.has_signature)
+    OnBroken("successful response without a signature");
 }
 
 void Exchange::OnBody(std::string_view bytes) {
   context_.placement.OnBytesReceived(backend_->id, steady_clock::now());
-  const bool is_success = response_status_ >= 200 && response_status_ < 300;
-  if (is_success && !response_metadata_.has_signature)
-    return;
   if (is_event_stream_) {
     RelayEvents(bytes);
     return;
@@ -144,11 +144,6 @@
 }
 
 void Exchange::OnComplete() {
-  const bool is_success = response_status_ >= 200 && response_status_ < 300;
-  if (is_success && !response_metadata_.has_signature) {
-    OnBroken("successful response without a signature");
-    return;
-  }
   if (is_event_stream_ && framer_.unfinished_bytes() > 0) {
     OnBroken("the stream ended within an event");
     return;
--- a/tests/sessions/gateway/endless_bytes_test.cc
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -132,6 +132,29 @@
   CHECK(received.body == "answer");
 }
 
+// Guards against reading on until the deadline although the head already shows
+// that the response cannot be passed on.
+TEST_CASE("A success without proof of the run fails the request at its head",
+          "[gateway]") {
+  SECTION("with an endless body") {
+    CheckFailsAtOnce([](const Request& request) {
+      return EndlessBody("200", AttemptField(request));
+    });
+  }
+  SECTION("with an endless body that ends with its connection") {
+    CheckFailsAtOnce([](const Request& request) {
+      return Endless("HTTP/1.1 200 X\r\n" + AttemptField(request) + "\r\n",
+                     "junk");
+    });
+  }
+  SECTION("as an endless stream") {
+    CheckFailsAtOnce([](const Request& request) {
+      return EndlessBody(
+          "200", AttemptField(request) + "Content-Type: text/event-stream\r\n");
+    });
+  }
+}
+
 // Guards against a long body that stops once its caller has read slowly.
 TEST_CASE("A long body reaches a caller that reads slowly as a whole",
           "[gateway]") {
