Limit the body of responses other than a success

Callers of a backend server that rejected a request and never ended the body waited until the deadline (504), while the gateway buffered the body without limit. Callers of one that failed (5xx, 4xx, 3xx) got its head after 1 MiB and then bytes until the deadline, so a retryable request could not be retried any more.

Cause: OnBody exempted rejections from the 1 MiB buffer limit and began to relay every other response above it. Now only a success is relayed while it arrives; any other response above 1 MiB counts as broken: retried where the kind of request allows it, otherwise 502 with ran=maybe. A rejection is not taken at its word here, since bytes without end are no answer. A genuine failure body above 1 MiB is no longer relayed. The other exemption (is_head_sent_ && !is_chunked_) could never apply: an unchunked head is sent only when the request ends.

--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -151,7 +151,6 @@
   bool is_head_sent_ = false;
   // Status code that was sent to the caller.
   int sent_status_ = 0;
-  bool is_chunked_ = false;
   std::string last_event_id_;
   std::int64_t event_count_ = 0;
   base::MonoTime first_event_at_{};
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -17,7 +17,8 @@
 using std::chrono::steady_clock;
 
 // Responses up to this size in bytes are buffered until they are complete, so
-// that a broken one can be retried. Longer ones are relayed as they arrive.
+// that a broken one can be retried. A longer success is relayed as it arrives;
+// any other longer response counts as broken.
 constexpr std::size_t kMaxBufferedBytes = 1 << 20;
 
 // Unwritten bytes for the caller above which reading from the backend server is
@@ -62,9 +63,13 @@
     return;
   }
   response_body_.append(bytes);
-  if (response_body_.size() <= kMaxBufferedBytes ||
-      response_metadata_.not_executed || (is_head_sent_ && !is_chunked_))
+  if (response_body_.size() <= kMaxBufferedBytes)
     return;
+  const bool is_success = response_status_ >= 200 && response_status_ < 300;
+  if (!is_success || response_metadata_.not_executed) {
+    OnBroken("the response exceeds the size limit");
+    return;
+  }
   if (!is_head_sent_)
     SendHead(true, 0);
   SendChunk(response_body_);
@@ -111,7 +116,6 @@
 void Exchange::SendHead(bool chunked, std::size_t length) {
   is_head_sent_ = true;
   sent_status_ = response_status_;
-  is_chunked_ = chunked;
   const auto reason = http::obsolete_reason(
       http::int_to_status(static_cast<unsigned>(response_status_)));
   std::string head = "HTTP/1.1 " + std::to_string(response_status_) + " " +
--- a/tests/sessions/gateway/endless_bytes_test.cc
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -155,6 +155,55 @@
   }
 }
 
+// Guards against buffering the body of a rejection without limit, and against
+// the statement that such a request did not run: bytes without end are no
+// answer.
+TEST_CASE("A rejection with an endless body fails the request at once",
+          "[gateway]") {
+  SECTION("by its header field") {
+    CheckFailsAtOnce([](const Request& request) {
+      return EndlessBody("503", AttemptField(request) + "Not-Executed: 1\r\n");
+    });
+  }
+  SECTION("by its status") {
+    CheckFailsAtOnce([](const Request& request) {
+      return EndlessBody("421", AttemptField(request));
+    });
+  }
+}
+
+// Guards against relaying a failure response that never ends until the
+// deadline, so that the request can no longer be retried.
+TEST_CASE("A failure with an endless body fails the request at once",
+          "[gateway]") {
+  const std::string status = GENERATE("500", "404", "302");
+  CheckFailsAtOnce([status](const Request& request) {
+    return EndlessBody(status,
+                       AttemptField(request) + "Server-Signature: proof\r\n");
+  });
+}
+
+// Guards against an endless answer that takes the time of a second attempt.
+TEST_CASE("An idempotent request with an endless answer is answered elsewhere",
+          "[gateway]") {
+  GatewayFixture fleet(PatientState());
+  std::atomic<int> runs{0};
+  const std::string status = GENERATE("500", "200", "503");
+  const auto script = [&runs, status](const Request& request) {
+    if (++runs > 1)
+      return ScriptedEngine::CompleteAnswer(request, 200, "answer");
+    return EndlessBody(
+        status,
+        AttemptField(request) + (status == "503" ? "Not-Executed: 1\r\n" : ""));
+  };
+  fleet.AddEngine("i-1", script);
+  fleet.AddEngine("i-2", script);
+  const Received received = fleet.Send("/safe/", kLongDeadline);
+  CHECK(received.status == 200);
+  CHECK(Equals(received.body, "answer"));
+  CHECK(runs == 2);
+}
+
 // Guards against a long body that stops once its caller has read slowly.
 TEST_CASE("A long body reaches a caller that reads slowly as a whole",
           "[gateway]") {
