Never relay a plain body after the events of a stream

When a stream broke off and the attempt that should continue it answered with a plain body above 1 MiB, callers got that body in the middle of their event stream.

Cause: OnBody relayed every body above the buffer limit, also when the head and events of an earlier attempt had been sent. Such a response cannot continue the stream, so it now counts as broken at the limit.

--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -66,7 +66,8 @@
   if (response_body_.size() <= kMaxBufferedBytes)
     return;
   const bool is_success = response_status_ >= 200 && response_status_ < 300;
-  if (!is_success || response_metadata_.not_executed) {
+  // Such a body is never relayed after events.
+  if (!is_success || response_metadata_.not_executed || event_count_ > 0) {
     OnBroken("the response exceeds the size limit");
     return;
   }
--- a/tests/sessions/gateway/endless_bytes_test.cc
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -204,6 +204,30 @@
   CHECK(runs == 2);
 }
 
+// Guards against bytes of another kind of response in the middle of a stream:
+// the attempt that should continue it answers with a long body instead.
+TEST_CASE("A stream that is continued by a long plain body ends cut",
+          "[gateway]") {
+  GatewayFixture fleet(PatientState());
+  std::atomic<int> runs{0};
+  const std::string status = GENERATE("500", "200");
+  const auto script = [&runs, status](const Request& request) -> Answer {
+    if (++runs == 1) {
+      return {{{ScriptedEngine::StreamHead(request) +
+                ScriptedEngine::EventChunk(1)}},
+              Answer::Then::kReset};
+    }
+    return EndlessBody(status,
+                       AttemptField(request) + "Server-Signature: proof\r\n");
+  };
+  fleet.AddEngine("i-1", script);
+  fleet.AddEngine("i-2", script);
+  const Received received = fleet.Send("/stream/", kTokens);
+  CHECK(runs == 2);
+  CHECK(received.is_cut);
+  CHECK(Equals(received.body, "id: 1\ndata: e1\n\n"));
+}
+
 // Guards against a long body that stops once its caller has read slowly.
 TEST_CASE("A long body reaches a caller that reads slowly as a whole",
           "[gateway]") {
