Limit the bytes skipped of responses to other requests

Callers waited until the deadline and got 504 when the backend server sent a response to another request whose body did not end.

Cause: BackendCall limited the number of such responses, not their size. The call now fails after 1 MiB of them.

Evidence: "An endless response to another request fails the request at once" failed before with `504 == 502` (deadline 4 s), with all 256 MB read. It passes now.

--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -23,6 +23,10 @@
 // closed.
 constexpr int kMaxStaleResponses = 2;
 
+// Body bytes of such responses that are skipped on one connection before it is
+// closed.
+constexpr std::size_t kMaxStaleBytes = 1 << 20;
+
 // Interim (1xx) responses that are skipped before the connection is closed.
 constexpr int kMaxInterimResponses = 16;
 
@@ -188,7 +192,13 @@
     const std::size_t used = parser_->put(connection_->buffer.data(), error);
     connection_->buffer.consume(used);
     const std::size_t produced = scratch.size() - body.size;
-    if (produced > 0 && !is_stale_response_) {
+    if (is_stale_response_) {
+      stale_bytes_ += produced;
+      if (stale_bytes_ > kMaxStaleBytes) {
+        Fail("response to another request exceeds the size limit");
+        return false;
+      }
+    } else if (produced > 0) {
       listener_->OnBody(std::string_view(scratch.data(), produced));
       if (listener_ == nullptr)
         return false;
--- a/src/dandelionmill/gateway/backend_call.h
+++ b/src/dandelionmill/gateway/backend_call.h
@@ -88,6 +88,7 @@
   // The response being parsed belongs to an earlier request.
   bool is_stale_response_ = false;
   int stale_response_count_ = 0;
+  std::size_t stale_bytes_ = 0;
   int interim_response_count_ = 0;
   bool is_request_written_ = false;
   bool is_paused_ = false;
--- a/tests/sessions/gateway/endless_bytes_test.cc
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -183,6 +183,15 @@
   });
 }
 
+// Guards against skipping the body of an extra response without limit.
+TEST_CASE("An endless response to another request fails the request at once",
+          "[gateway]") {
+  CheckFailsAtOnce([](const Request&) {
+    return EndlessBody("200",
+                       "Attempt-Id: other\r\nServer-Signature: proof\r\n");
+  });
+}
+
 // Guards against an endless answer that takes the time of a second attempt.
 TEST_CASE("An idempotent request with an endless answer is answered elsewhere",
           "[gateway]") {
