Limit the chunk framing of responses

A chunk size, chunk extension or trailer without end filled the gateway's memory until the deadline; the caller then got 504.

Cause: Beast's header limit covers the head only. A chunk header or trailer stays in the connection's buffer until it is complete, and that buffer had no limit. The call now fails when more than 64 KiB remain unparsed. A head cannot reach that limit before its own.

Evidence: "Framing without end fails the request at once" failed before in the sections for a chunk size, a chunk extension and a trailer with `504 == 502` (deadline 4 s), with all 256 MB read. The sections for an endless status line, header field, header fields, junk and empty lines passed before. All pass now.

--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -120,7 +120,15 @@
   }
   connection_->buffer.commit(count);
   overload_.OnReceived(count);
-  if (Parse() && !is_paused_)
+  if (!Parse())
+    return;
+  // The parser consumes a chunk header or a trailer only as a whole, and has no
+  // limit for them.
+  if (connection_->buffer.size() > kMaxHeadBytes) {
+    Fail("response: the chunk framing exceeds the size limit");
+    return;
+  }
+  if (!is_paused_)
     Receive();
 }
 
--- a/tests/sessions/gateway/endless_bytes_test.cc
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -192,6 +192,48 @@
   });
 }
 
+// Guards against buffering what the parser cannot use yet without limit.
+TEST_CASE("Framing without end fails the request at once", "[gateway]") {
+  SECTION("in the status line") {
+    CheckFailsAtOnce(
+        [](const Request&) { return Endless("HTTP/1.1 200 ", "x"); });
+  }
+  SECTION("in a header field") {
+    CheckFailsAtOnce(
+        [](const Request&) { return Endless("HTTP/1.1 200 X\r\nA: ", "x"); });
+  }
+  SECTION("in header fields") {
+    CheckFailsAtOnce([](const Request&) {
+      return Endless("HTTP/1.1 200 X\r\n", "A: x\r\n");
+    });
+  }
+  SECTION("in bytes that are no response") {
+    CheckFailsAtOnce([](const Request&) { return Endless("", "junk"); });
+  }
+  SECTION("in empty lines") {
+    CheckFailsAtOnce([](const Request&) { return Endless("", "\r\n"); });
+  }
+  const auto signed_head = [](const Request& request) {
+    return "HTTP/1.1 200 X\r\n" + AttemptField(request) +
+           "Server-Signature: proof\r\nTransfer-Encoding: chunked\r\n\r\n";
+  };
+  SECTION("in a chunk size") {
+    CheckFailsAtOnce([signed_head](const Request& request) {
+      return Endless(signed_head(request), "0");
+    });
+  }
+  SECTION("in a chunk extension") {
+    CheckFailsAtOnce([signed_head](const Request& request) {
+      return Endless(signed_head(request) + "1;a=", "x");
+    });
+  }
+  SECTION("in a trailer") {
+    CheckFailsAtOnce([signed_head](const Request& request) {
+      return Endless(signed_head(request) + "0\r\n", "A: x\r\n");
+    });
+  }
+}
+
 // Guards against an endless answer that takes the time of a second attempt.
 TEST_CASE("An idempotent request with an endless answer is answered elsewhere",
           "[gateway]") {
