Read a long body no faster than its caller

The gateway queued a response above 1 MiB without limit for a caller that reads slowly, until the deadline.

Cause: only events paused the reading while the caller's queue is long. A plain body now does so too; reading resumes when the queue is written.

Evidence: "A body without end is read no faster than its caller reads" failed before: the gateway had accepted 137,588,760 bytes when the test stopped, bound 100,663,296. It passes now, and "A long body reaches a caller that reads slowly as a whole" still does.

--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -89,6 +89,8 @@
   void OnFailureStatus();
   void RelayBufferedResponse();
   void RelayEvents(std::string_view bytes);
+  // Stops reading from the backend server while the caller reads slowly.
+  void PauseIfQueueIsLong();
   void SendHead(bool chunked, std::size_t length);
   void SendChunk(std::string_view bytes);
   void ArmTimer();
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -75,6 +75,7 @@
     SendHead(true, 0);
   SendChunk(response_body_);
   response_body_.clear();
+  PauseIfQueueIsLong();
 }
 
 void Exchange::RelayEvents(std::string_view bytes) {
@@ -110,6 +111,10 @@
   if (!is_head_sent_)
     SendHead(true, 0);
   SendChunk(chunk);
+  PauseIfQueueIsLong();
+}
+
+void Exchange::PauseIfQueueIsLong() {
   if (response_writer_->queued_bytes() > kMaxQueuedBytes && call_)
     call_->Pause();
 }
--- a/tests/sessions/gateway/endless_bytes_test.cc
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -279,6 +279,23 @@
   CHECK(Equals(received.body, "id: 1\ndata: e1\n\n"));
 }
 
+// Guards against a queue for a caller that reads slowly that grows with the
+// body.
+TEST_CASE("A body without end is read no faster than its caller reads",
+          "[gateway]") {
+  GatewayFixture fleet(PatientState());
+  ScriptedEngine& engine = fleet.AddEngine("i-1", [](const Request& request) {
+    return EndlessBody("200",
+                       AttemptField(request) + "Server-Signature: proof\r\n");
+  });
+  SlowCaller caller("/once/");
+  fleet.WaitUntil([&engine] { return !engine.requests().empty(); });
+  // Ends early only if the gateway reads without limit.
+  for (int i = 0; i < 40 && engine.repeated_bytes() < kMaxAcceptedBytes; ++i)
+    std::this_thread::sleep_for(milliseconds(50));
+  CHECK(engine.repeated_bytes() < kMaxAcceptedBytes);
+}
+
 // Guards against a long body that stops once its caller has read slowly.
 TEST_CASE("A long body reaches a caller that reads slowly as a whole",
           "[gateway]") {
