Start no second attempt for a response that is being relayed

Callers of an idempotent route got two responses joined into one when the response was above 1 MiB and took longer than the route's latency objective.

Cause: OnTimer retries a slow idempotent request elsewhere without regard to what was already sent; the second response was appended to the first, and ended as complete. RetryOrRefuse already had the right condition; both now use it.

Evidence: "A long body that pauses is relayed from one attempt alone" failed before with two runs and a body of 5,246,353 bytes in place of 4,194,304, not cut. It passes now.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -327,12 +327,14 @@
   }
 }
 
+bool Exchange::CanContinueResponse() const {
+  return !is_head_sent_ || is_event_stream_ || event_count_ > 0;
+}
+
 void Exchange::RetryOrRefuse(const Refusal& refusal) {
   if (may_have_run_ && !IsRetryable(route_->kind))
     no_retry_reason_ = "kind";
-  const bool can_continue =
-      !is_head_sent_ || (is_event_stream_ || event_count_ > 0);
-  if (may_have_run_ && IsRetryable(route_->kind) && can_continue &&
+  if (may_have_run_ && IsRetryable(route_->kind) && CanContinueResponse() &&
       TryTakeRetry()) {
     StartAttempt();
     return;
@@ -374,7 +376,7 @@
     OnDeadline();
     return;
   }
-  if (IsBackendSilent(now) && TryTakeRetry()) {
+  if (IsBackendSilent(now) && CanContinueResponse() && TryTakeRetry()) {
     {
       log::Event event(log::Level::kInfo, "attempt_silent");
       AddPlacementFields(event).With(
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -81,6 +81,9 @@
   // takes one extra attempt from the allowance; otherwise sets
   // no_retry_reason_.
   bool TryTakeRetry();
+  // Returns whether the response of another attempt can take the place of the
+  // current one: nothing was sent to the caller, or only whole events.
+  bool CanContinueResponse() const;
   // Reports the end of the current attempt to the placement.
   void EndAttempt(AttemptEnd end);
   // Starts another attempt if the request may run again; refuses it otherwise.
--- a/tests/sessions/gateway/endless_bytes_test.cc
+++ b/tests/sessions/gateway/endless_bytes_test.cc
@@ -279,6 +279,33 @@
   CHECK(Equals(received.body, "id: 1\ndata: e1\n\n"));
 }
 
+// Guards against two responses joined into one: a long body is relayed while it
+// arrives, and a pause in it must not start a second attempt.
+TEST_CASE("A long body that pauses is relayed from one attempt alone",
+          "[gateway]") {
+  json state = DesiredState(1);
+  state["routes"][0]["timeoutMs"] = 4000;
+  GatewayFixture fleet(state);
+  std::atomic<int> runs{0};
+  const std::string half(2 << 20, 'h');
+  const auto script = [&runs, &half](const Request& request) {
+    ++runs;
+    Answer answer = ScriptedEngine::CompleteAnswer(request, 200, half + half);
+    std::string& bytes = answer.steps[0].bytes;
+    const std::string second = bytes.substr(bytes.size() - half.size());
+    bytes.resize(bytes.size() - half.size());
+    answer.steps.push_back({second, milliseconds(900)});
+    return answer;
+  };
+  fleet.AddEngine("i-1", script);
+  fleet.AddEngine("i-2", script);
+  const Received received = fleet.Send("/safe/");
+  CHECK(runs == 1);
+  CHECK(received.status == 200);
+  CHECK_FALSE(received.is_cut);
+  CHECK(received.body.size() == 2 * half.size());
+}
+
 // Guards against a queue for a caller that reads slowly that grows with the
 // body.
 TEST_CASE("A body without end is read no faster than its caller reads",
