Limit the unparsed bytes of a response in net::Call

A peer that sent a chunk size or chunk extension without end filled the caller's memory until the timeout of the call.

Cause: Beast's parser leaves a chunk header in the buffer until it is complete, and the buffer had no limit. With one of 128 KiB the read fails with buffer_overflow, which Call reports as broken. A body passes through the buffer in parts, so its limit stays 64 MiB.

--- a/src/dandelionmill/net/http_client.cc
+++ b/src/dandelionmill/net/http_client.cc
@@ -18,6 +18,10 @@
 // Maximum response body in bytes; larger than any backend server's record.
 constexpr std::uint64_t kMaxResponseBody = 64 << 20;
 
+// Received bytes that may wait to be parsed. The parser consumes a chunk header
+// or a trailer only as a whole, and has no limit for them.
+constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
+
 CallFailure ToCallFailure(const error_code& error) {
   return error == beast::error::timeout ? CallFailure::kTimedOut
                                         : CallFailure::kBroken;
@@ -78,7 +82,7 @@
   // request may respond before it has read all of it.
   if (error == beast::error::timeout)
     return CallFailure::kTimedOut;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBody);
   http::async_read(stream, buffer, parser, fiber.yield()[error]);
