Limit the unparsed bytes of an event stream in StreamReader

A backend server that sent a chunk extension without end filled the router's memory until the reader was dropped or its read timeout passed.

Cause: the same as in net::Call: the buffer before the parser had no limit. With one of 128 KiB the read fails, and the reader ends as broken.

Evidence: "A stream with endless chunk framing is broken at once" failed before: no end after 4 s, and 268,435,456 bytes accepted, bound 100,663,296. It passes now.

--- a/src/dandelionmill/backend/stream_reader.cc
+++ b/src/dandelionmill/backend/stream_reader.cc
@@ -22,6 +22,9 @@
 // Bytes kept of the body of an error response; the rest is dropped.
 constexpr std::size_t kMaxErrorBodyBytes = 64 << 10;
 constexpr std::size_t kReadBytes = 16 << 10;
+// Received bytes that may wait to be parsed. The parser consumes a chunk header
+// or a trailer only as a whole, and has no limit for them.
+constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
 
 }  // namespace
 
@@ -111,7 +114,7 @@
 
   const Options options_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   SseParser parser_;
   bool is_cancelled_ = false;
   std::vector<SseEvent> events_;
