--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -23,6 +23,13 @@
 // closed.
 constexpr int kMaxStaleResponses = 2;
 
+// Body bytes of such responses that are skipped on one connection before it is
+// closed.
+constexpr std::size_t kMaxStaleBytes = 1 << 20;
+
+// Interim (1xx) responses that are skipped before the connection is closed.
+constexpr int kMaxInterimResponses = 16;
+
 }  // namespace
 
 BackendCall::BackendCall(ConnectionPool& pool,
@@ -113,7 +120,15 @@
   }
   connection_->buffer.commit(count);
   overload_.OnReceived(count);
-  if (Parse() && !is_paused_)
+  if (!Parse())
+    return;
+  // The parser consumes a chunk header or a trailer only as a whole, and has no
+  // limit for them.
+  if (connection_->buffer.size() > kMaxHeadBytes) {
+    Fail("response: the chunk framing exceeds the size limit");
+    return;
+  }
+  if (!is_paused_)
     Receive();
 }
 
@@ -143,6 +158,11 @@
       return false;
     }
     // An interim (1xx) response, or one to an earlier request.
+    if (!is_stale_response_ &&
+        ++interim_response_count_ > kMaxInterimResponses) {
+      Fail("too many interim responses");
+      return false;
+    }
     ResetParser();
     if (connection_->buffer.size() == 0)
       return true;
@@ -180,7 +200,13 @@
     const std::size_t used = parser_->put(connection_->buffer.data(), error);
     connection_->buffer.consume(used);
     const std::size_t produced = scratch.size() - body.size;
-    if (produced > 0 && !is_stale_response_) {
+    if (is_stale_response_) {
+      stale_bytes_ += produced;
+      if (stale_bytes_ > kMaxStaleBytes) {
+        Fail("response to another request exceeds the size limit");
+        return false;
+      }
+    } else if (produced > 0) {
       listener_->OnBody(std::string_view(scratch.data(), produced));
       if (listener_ == nullptr)
         return false;
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -84,6 +84,9 @@
   // takes one extra attempt from the allowance; otherwise sets
   // no_retry_reason_.
   bool TryTakeRetry();
+  // Returns whether the response of another attempt can take the place of the
+  // current one: nothing was sent to the caller, or only whole events.
+  bool CanContinueResponse() const;
   // Reports the end of the current attempt to the placement.
   void EndAttempt(AttemptEnd end);
   // Starts another attempt if the request may run again; refuses it otherwise.
@@ -92,6 +95,8 @@
   void OnFailureStatus();
   void RelayBufferedResponse();
   void RelayEvents(std::string_view bytes);
+  // Stops reading from the backend server while the caller reads slowly.
+  void PauseIfQueueIsLong();
   void SendHead(bool chunked, std::size_t length);
   void SendChunk(std::string_view bytes);
   void ArmTimer();
@@ -154,7 +159,6 @@
   bool is_head_sent_ = false;
   // Status code that was sent to the caller.
   int sent_status_ = 0;
-  bool is_chunked_ = false;
   std::string last_event_id_;
   std::int64_t event_count_ = 0;
   base::MonoTime first_event_at_{};
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -17,7 +17,8 @@
 using std::chrono::steady_clock;
 
 // Responses up to this size in bytes are buffered until they are complete, so
-// that a broken one can be retried. Longer ones are relayed as they arrive.
+// that a broken one can be retried. A longer success is relayed as it arrives;
+// any other longer response counts as broken.
 constexpr std::size_t kMaxBufferedBytes = 1 << 20;
 
 // Unwritten bytes for the caller above which reading from the backend server is
@@ -50,25 +51,31 @@
       status == 200 && IsStream(route_->kind) &&
       boost::algorithm::istarts_with(fields[http::field::content_type],
                                      "text/event-stream");
+  const bool is_success = status >= 200 && status < 300;
+  if (is_success && !metadata.has_signature)
+    OnBroken("successful response without a signature");
 }
 
 void Exchange::OnBody(std::string_view bytes) {
   context_.placement.OnBytesReceived(backend_->id, steady_clock::now());
-  const bool is_success = response_status_ >= 200 && response_status_ < 300;
-  if (is_success && !response_metadata_.has_signature)
-    return;
   if (is_event_stream_) {
     RelayEvents(bytes);
     return;
   }
   response_body_.append(bytes);
-  if (response_body_.size() <= kMaxBufferedBytes ||
-      response_metadata_.not_executed || (is_head_sent_ && !is_chunked_))
+  if (response_body_.size() <= kMaxBufferedBytes)
     return;
+  const bool is_success = response_status_ >= 200 && response_status_ < 300;
+  // Such a body is never relayed after events.
+  if (!is_success || response_metadata_.not_executed || event_count_ > 0) {
+    OnBroken("the response exceeds the size limit");
+    return;
+  }
   if (!is_head_sent_)
     SendHead(true, 0);
   SendChunk(response_body_);
   response_body_.clear();
+  PauseIfQueueIsLong();
 }
 
 void Exchange::RelayEvents(std::string_view bytes) {
@@ -104,6 +111,10 @@
   if (!is_head_sent_)
     SendHead(true, 0);
   SendChunk(chunk);
+  PauseIfQueueIsLong();
+}
+
+void Exchange::PauseIfQueueIsLong() {
   if (response_writer_->queued_bytes() > kMaxQueuedBytes && call_)
     call_->Pause();
 }
@@ -111,7 +122,6 @@
 void Exchange::SendHead(bool chunked, std::size_t length) {
   is_head_sent_ = true;
   sent_status_ = response_status_;
-  is_chunked_ = chunked;
   const auto reason = http::obsolete_reason(
       http::int_to_status(static_cast<unsigned>(response_status_)));
   std::string head = "HTTP/1.1 " + std::to_string(response_status_) + " " +
@@ -144,11 +154,6 @@
 }
 
 void Exchange::OnComplete() {
-  const bool is_success = response_status_ >= 200 && response_status_ < 300;
-  if (is_success && !response_metadata_.has_signature) {
-    OnBroken("successful response without a signature");
-    return;
-  }
   if (is_event_stream_ && framer_.unfinished_bytes() > 0) {
     OnBroken("the stream ended within an event");
     return;
