Limit the bandwidth of the soak's links

FaultProxy takes a limit in bytes per second for each direction of a link, which all its connections share and Restore keeps. Without a limit nothing changes.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -13,7 +13,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::chrono::milliseconds kPollInterval{5};
+constexpr std::chrono::microseconds kPollInterval{5000};
 
 tcp::endpoint EndpointOf(int port) {
   return {asio::ip::make_address("127.0.0.1"),
@@ -38,9 +38,8 @@
           error_code ignored;
           self->up_.from.set_option(tcp::no_delay(true), ignored);
           self->down_.from.set_option(tcp::no_delay(true), ignored);
-          self->Read(self->up_, self->down_, self->proxy_.is_upstream_paused_);
-          self->Read(self->down_, self->up_,
-                     self->proxy_.is_downstream_paused_);
+          self->Read(self->up_, self->down_, self->proxy_.upstream_);
+          self->Read(self->down_, self->up_, self->proxy_.downstream_);
         });
   }
 
@@ -61,42 +60,40 @@
     std::array<char, 16384> bytes{};
   };
 
-  void Read(Direction& direction,
-            Direction& other,
-            const std::atomic<bool>& is_paused) {
+  void Read(Direction& direction, Direction& other, Channel& channel) {
     direction.from.async_read_some(
         asio::buffer(direction.bytes),
-        [self = shared_from_this(), &direction, &other, &is_paused](
+        [self = shared_from_this(), &direction, &other, &channel](
             error_code error, std::size_t count) {
-          const std::chrono::milliseconds delay(self->proxy_.delay_ms_);
+          const auto delay = self->proxy_.DelayOf(channel, count);
           self->RunAfterDelay(
-              direction, delay, is_paused,
-              [self, &direction, &other, &is_paused, error, count] {
-                self->Forward(direction, other, is_paused, error, count);
+              direction, delay, channel,
+              [self, &direction, &other, &channel, error, count] {
+                self->Forward(direction, other, channel, error, count);
               });
         });
   }
 
   template <class Callback>
   void RunAfterDelay(Direction& direction,
-                     std::chrono::milliseconds delay,
-                     const std::atomic<bool>& is_paused,
+                     std::chrono::microseconds delay,
+                     Channel& channel,
                      Callback callback) {
-    if (delay.count() == 0 && !is_paused)
+    if (delay.count() == 0 && !channel.is_paused)
       return callback();
     direction.timer.expires_after(
-        std::max(delay, is_paused ? kPollInterval : delay));
+        std::max(delay, channel.is_paused ? kPollInterval : delay));
     direction.timer.async_wait(
-        [self = shared_from_this(), &direction, &is_paused,
+        [self = shared_from_this(), &direction, &channel,
          callback = std::move(callback)](error_code) mutable {
-          self->RunAfterDelay(direction, std::chrono::milliseconds(0),
-                              is_paused, std::move(callback));
+          self->RunAfterDelay(direction, std::chrono::microseconds(0), channel,
+                              std::move(callback));
         });
   }
 
   void Forward(Direction& direction,
                Direction& other,
-               const std::atomic<bool>& is_paused,
+               Channel& channel,
                error_code error,
                std::size_t count) {
     if (error == asio::error::eof) {
@@ -107,11 +104,11 @@
     if (error)
       return Reset();
     asio::async_write(other.from, asio::buffer(direction.bytes, count),
-                      [self = shared_from_this(), &direction, &other,
-                       &is_paused](error_code problem, std::size_t) {
+                      [self = shared_from_this(), &direction, &other, &channel](
+                          error_code problem, std::size_t) {
                         if (problem)
                           return self->Reset();
-                        self->Read(direction, other, is_paused);
+                        self->Read(direction, other, channel);
                       });
   }
 
@@ -139,6 +136,19 @@
   });
 }
 
+std::chrono::microseconds FaultProxy::DelayOf(Channel& channel,
+                                              std::size_t bytes) const {
+  const std::chrono::milliseconds delay(delay_ms_);
+  const std::size_t rate = bytes_per_s_;
+  if (rate == 0)
+    return delay;
+  const auto now = std::chrono::steady_clock::now();
+  channel.free_at = std::max(channel.free_at, now) +
+                    std::chrono::microseconds(bytes * 1000000 / rate);
+  return delay + std::chrono::duration_cast<std::chrono::microseconds>(
+                     channel.free_at - now);
+}
+
 void FaultProxy::Reset() {
   asio::post(loop_, [this] {
     for (const auto& weak : connections_) {
@@ -149,8 +159,8 @@
 }
 
 void FaultProxy::Restore() {
-  is_upstream_paused_ = false;
-  is_downstream_paused_ = false;
+  upstream_.is_paused = false;
+  downstream_.is_paused = false;
   delay_ms_ = 0;
 }
 
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <list>
 #include <memory>
 
@@ -20,10 +22,13 @@
 
   // Pauses forwarding towards the target, or towards the client. Data is
   // delayed, not lost, as on a link where TCP retransmits lost packets.
-  void PauseUpstream(bool paused) { is_upstream_paused_ = paused; }
-  void PauseDownstream(bool paused) { is_downstream_paused_ = paused; }
+  void PauseUpstream(bool paused) { upstream_.is_paused = paused; }
+  void PauseDownstream(bool paused) { downstream_.is_paused = paused; }
   // Delays each chunk that is read by `delay`.
   void SetDelay(std::chrono::milliseconds delay) { delay_ms_ = delay.count(); }
+  // Limits each direction of the link to `rate` bytes per second, which all
+  // connections share; 0 for no limit. Restore keeps the limit.
+  void SetBytesPerSecond(std::size_t rate) { bytes_per_s_ = rate; }
   // Closes all open connections with a TCP reset.
   void Reset();
   // Clears all pauses and the delay.
@@ -32,13 +37,24 @@
  private:
   class Connection;
 
+  // One direction of the link.
+  struct Channel {
+    std::atomic<bool> is_paused{false};
+    // When the bytes forwarded so far have passed the bandwidth limit. Used on
+    // the loop only.
+    std::chrono::steady_clock::time_point free_at{};
+  };
+
   void Accept();
+  // Returns how long to hold `bytes` that were read just now.
+  std::chrono::microseconds DelayOf(Channel& channel, std::size_t bytes) const;
 
   boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   const int target_;
-  std::atomic<bool> is_upstream_paused_{false};
-  std::atomic<bool> is_downstream_paused_{false};
+  Channel upstream_;
+  Channel downstream_;
+  std::atomic<std::size_t> bytes_per_s_{0};
   std::atomic<std::int64_t> delay_ms_{0};
   std::list<std::weak_ptr<Connection>> connections_;
 };
