Check in the soak that every gateway catches up with the configuration

Now a version has some 300 routes; one comes and one goes with each version. A second prober asks each gateway for the newest route and for an earlier one. The judge reports a 404 or 401 for what all versions since the bound allow, and an answer of a route that is gone, once the store could be reached for 6 s (catch-up) and 4 s (a change); a store that forgets its history or loses answers to commits, reloads and planned restarts of others do not excuse these. A route that shows an older version than one seen before counts as a rollback. The checks there were are unchanged; the time of a version is now taken before it is stored.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -27,6 +27,7 @@
 // Callers read for this long past the time limit to detect late responses.
 constexpr milliseconds kLateAnswerWindow{2500};
 constexpr milliseconds kKeyProbeInterval{40};
+constexpr milliseconds kRouteProbeInterval{40};
 
 const char* PathOf(Kind kind) {
   switch (kind) {
@@ -49,8 +50,12 @@
 std::string RequestText(const Request& request,
                         const std::string& key,
                         const std::string& body) {
+  const std::string path =
+      request.route_from == 0
+          ? PathOf(request.kind)
+          : "/v" + std::to_string(request.route_from) + "/x";
   std::string text =
-      std::string("POST ") + PathOf(request.kind) +
+      "POST " + path +
       " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: " + request.id +
       "\r\nAuthorization: Bearer " + key + "\r\nDeadline-Milliseconds: " +
       std::to_string(request.time_limit.count()) +
@@ -276,6 +281,42 @@
   }
 }
 
+void RunRouteProber(Fleet& fleet,
+                    const std::atomic<bool>& is_stopping,
+                    ExchangeLog& log) {
+  // A few of the routes asked for are gone.
+  constexpr std::size_t kMaxAge = kRouteLifetimeVersions + 5;
+  std::mt19937 random(1);
+  for (int number = 0; !is_stopping; ++number) {
+    const std::vector<ConfigVersion> versions = fleet.versions();
+    const std::size_t age =
+        number % 2 == 0 ? 0 : random() % std::min(kMaxAge, versions.size());
+    log.Add(SendRouteProbe(fleet, number / 2 % fleet.options().gateways,
+                           versions[versions.size() - 1 - age].number,
+                           "v-" + std::to_string(number)));
+    std::this_thread::sleep_for(kRouteProbeInterval);
+  }
+}
+
+Exchange SendRouteProbe(Fleet& fleet,
+                        int gateway,
+                        std::uint64_t version,
+                        const std::string& id) {
+  Request request;
+  request.id = id;
+  request.account = kLargeAccount;
+  request.gateway = gateway;
+  request.boot = fleet.boot(gateway);
+  request.time_limit = kRouteTimeout;
+  request.route_from = version;
+  request.route_until = RouteEnd(version);
+  CallerConnection connection(fleet.caller_port(gateway));
+  request.sent = steady_clock::now();
+  return {request, connection.Exchange(
+                       request, KeyOf(request.account, 0), "route",
+                       request.sent + request.time_limit + kLateAnswerWindow)};
+}
+
 Exchange SendOneRequest(Fleet& fleet,
                         int gateway,
                         Kind kind,
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -81,6 +81,19 @@
                   const std::atomic<bool>& is_stopping,
                   ExchangeLog& log);
 
+// Sends requests to each gateway in turn until `is_stopping`, alternating the
+// route that the newest version added and one of an earlier version, which may
+// be gone.
+void RunRouteProber(Fleet& fleet,
+                    const std::atomic<bool>& is_stopping,
+                    ExchangeLog& log);
+
+// Sends one request for the route that `version` added over a new connection.
+Exchange SendRouteProbe(Fleet& fleet,
+                        int gateway,
+                        std::uint64_t version,
+                        const std::string& id);
+
 // Sends one request of `kind` over a new connection.
 Exchange SendOneRequest(Fleet& fleet,
                         int gateway,
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -16,6 +16,7 @@
 constexpr std::int64_t kLargePrepaid = 1000000000;
 constexpr std::int64_t kPrepaidIncrement = 1000;
 constexpr std::uint64_t kFirstVersion = 10;
+constexpr std::uint64_t kVersionStep = 3;
 
 // Port offsets from FleetOptions::base_port.
 constexpr int kCallerOffset = 10;
@@ -27,7 +28,10 @@
 constexpr int kBackendOffset = 130;
 constexpr int kBackendLinkOffset = 260;
 
-json Route(const char* prefix, const char* kind, int attempts, bool resumable) {
+json Route(const std::string& prefix,
+           const char* kind,
+           int attempts,
+           bool resumable) {
   return {{"name", prefix},
           {"host", "soak.example"},
           {"prefix", prefix},
@@ -41,32 +45,45 @@
           {"resumable", resumable}};
 }
 
+json Routes(std::uint64_t version) {
+  json routes = {Route("/plain/", "safe", 2, false),
+                 Route("/once/", "unsafe", 1, false),
+                 Route("/stream/", "streaming", 3, true),
+                 Route("/single/", "streaming", 1, false)};
+  for (int i = 0; i < kUnusedRoutes; ++i)
+    routes.push_back(
+        Route("/unused/" + std::to_string(i) + "/", "safe", 2, false));
+  for (std::uint64_t added = kFirstVersion; added <= version;
+       added += kVersionStep) {
+    if (RouteEnd(added) > version)
+      routes.push_back(
+          Route("/v" + std::to_string(added) + "/", "safe", 2, false));
+  }
+  return routes;
+}
+
 json Configuration(std::uint64_t version, std::int64_t small_prepaid) {
   const auto account = [version](const char* name, std::int64_t prepaid) {
     return json{{"name", name},
                 {"apiKeys", {KeyOf(name, version)}},
                 {"prepaid", prepaid}};
   };
-  return {
-      {"version", version},
-      {"routes",
-       {Route("/plain/", "safe", 2, false), Route("/once/", "unsafe", 1, false),
-        Route("/stream/", "streaming", 3, true),
-        Route("/single/", "streaming", 1, false)}},
-      {"services",
-       {{{"name", "work"},
-         {"connectionLimit", 200},
-         {"engine",
-          {{"slots", 16}, {"kvCacheTokens", 100000}, {"stride", 5}}}}}},
-      {"limits",
-       {{"maxHeaderBytes", 16384},
-        {"maxBodyBytes", 100000},
-        {"headerTimeoutMs", 2000},
-        {"idleTimeoutMs", 10000}}},
-      {"tenants",
-       {account(kLargeAccount, kLargePrepaid),
-        account(kSmallAccount, small_prepaid),
-        account(kChangingAccount, kLargePrepaid)}}};
+  return {{"version", version},
+          {"routes", Routes(version)},
+          {"services",
+           {{{"name", "work"},
+             {"connectionLimit", 200},
+             {"engine",
+              {{"slots", 16}, {"kvCacheTokens", 100000}, {"stride", 5}}}}}},
+          {"limits",
+           {{"maxHeaderBytes", 16384},
+            {"maxBodyBytes", 100000},
+            {"headerTimeoutMs", 2000},
+            {"idleTimeoutMs", 10000}}},
+          {"tenants",
+           {account(kLargeAccount, kLargePrepaid),
+            account(kSmallAccount, small_prepaid),
+            account(kChangingAccount, kLargePrepaid)}}};
 }
 
 // Replaces a file atomically, since a process may be reading it.
@@ -81,6 +98,10 @@
 
 }  // namespace
 
+std::uint64_t RouteEnd(std::uint64_t version) {
+  return version + kRouteLifetimeVersions * kVersionStep;
+}
+
 std::string KeyOf(const std::string& account, std::uint64_t version) {
   return account == kChangingAccount ? account + "-" + std::to_string(version)
                                      : account + "-key";
@@ -101,6 +122,10 @@
                                      base + kCallerOffset + gateway));
     store_links_.push_back(std::make_unique<FaultProxy>(
         loop_, base + kStoreLinkOffset + gateway, base));
+    if (static_cast<std::size_t>(gateway) <
+        options_.store_link_bytes_per_s.size())
+      store_links_.back()->SetBytesPerSecond(
+          options_.store_link_bytes_per_s[gateway]);
     WriteAtomically(GatewaySettingsPath(gateway),
                     json{{"metrics_port", metrics_port(gateway)},
                          {"log_lines_per_s", 100000}}
@@ -290,12 +315,17 @@
 
 void Fleet::StoreNextConfiguration() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const std::uint64_t number =
-      versions_.empty() ? kFirstVersion : versions_.back().number + 3;
+  const std::uint64_t number = versions_.empty()
+                                   ? kFirstVersion
+                                   : versions_.back().number + kVersionStep;
   if (!versions_.empty())
     small_prepaid_ += kPrepaidIncrement;
-  store_.Put("op", "config", Configuration(number, small_prepaid_));
-  versions_.push_back({number, std::chrono::steady_clock::now()});
+  const json configuration = Configuration(number, small_prepaid_);
+  // The time before the call, as a gateway may use the version before it
+  // returns.
+  const Time stored = std::chrono::steady_clock::now();
+  store_.Put("op", "config", configuration);
+  versions_.push_back({number, stored});
 }
 
 std::vector<ConfigVersion> Fleet::versions() const {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -22,6 +22,12 @@
 inline constexpr std::int64_t kPromptTokens = 100;
 // The routes' timeout, which is also the callers' time limit.
 inline constexpr std::chrono::milliseconds kRouteTimeout{3000};
+// Routes that every version has and that no caller asks for; they give the
+// configuration the size of a large deployment's.
+inline constexpr int kUnusedRoutes = 260;
+// Each version adds one route and removes the one that was added this many
+// versions before.
+inline constexpr std::size_t kRouteLifetimeVersions = 40;
 
 struct FleetOptions {
   // Ports base_port to base_port + 399 must be free.
@@ -30,6 +36,9 @@
   int backends = 4;
   // Percentage of requests that a backend server refuses or breaks off.
   int failure_percent = 4;
+  // Bandwidth of each gateway's link to the store in bytes per second, by
+  // number of the gateway; 0 and missing entries for no limit.
+  std::vector<std::size_t> store_link_bytes_per_s;
   std::string gateway_program;
   std::string engine_program;
   // Directory for logs and settings files.
@@ -74,7 +83,8 @@
   std::vector<std::string> backends() const;
 
   // Stores the next configuration version, with a new key for the changing
-  // account and more prepaid tokens for the small one.
+  // account, more prepaid tokens for the small one and one new route in place
+  // of an old one.
   void StoreNextConfiguration();
   std::vector<ConfigVersion> versions() const;
   std::vector<std::pair<std::string, std::int64_t>> prepaid() const;
@@ -120,6 +130,9 @@
 inline constexpr char kSmallAccount[] = "small";
 inline constexpr char kChangingAccount[] = "changing";
 
+// Returns the first version without the route that `version` added.
+std::uint64_t RouteEnd(std::uint64_t version);
+
 // Returns the API key of an account. Only the key of the changing account
 // depends on the configuration version.
 std::string KeyOf(const std::string& account, std::uint64_t version);
--- a/tests/soak/invariants.cc
+++ b/tests/soak/invariants.cc
@@ -15,6 +15,7 @@
 
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
 // A disturbance can affect requests for this long after its end.
 constexpr milliseconds kRecoveryMargin{4000};
 // A response may end this long after the request's time limit.
@@ -31,13 +32,17 @@
 using Component = Disturbance::Component;
 const std::set<Component> kAllComponents = {
     Component::kGateway, Component::kCallerLink, Component::kStore,
-    Component::kBackend};
+    Component::kStoreData, Component::kBackend};
 // Components that can delay a response past the caller's time limit.
 const std::set<Component> kCallerPath = {Component::kGateway,
                                          Component::kCallerLink};
 // Components whose failure can keep a gateway from receiving updates from the
 // store.
-const std::set<Component> kStorePath = {Component::kGateway, Component::kStore};
+const std::set<Component> kStorePath = {Component::kGateway, Component::kStore,
+                                        Component::kStoreData};
+// Components whose failure keeps a gateway from reaching the store.
+const std::set<Component> kStoreAccess = {Component::kGateway,
+                                          Component::kStore};
 
 class InvariantChecker {
  public:
@@ -90,12 +95,13 @@
   }
 
   // Returns whether an unplanned disturbance of one of `components` overlaps
-  // the interval, or ended at most kRecoveryMargin before it. Considers only
+  // the interval, or ended at most `margin` before it. Considers only
   // disturbances of `gateway` and of all gateways; -1 stands for any gateway.
   bool IsDisturbed(const std::set<Disturbance::Component>& components,
                    int gateway,
                    Time from,
-                   Time until) const {
+                   Time until,
+                   milliseconds margin = kRecoveryMargin) const {
     return std::any_of(
         records_.disturbances.begin(), records_.disturbances.end(),
         [&](const Disturbance& disturbance) {
@@ -104,7 +110,7 @@
                  (gateway < 0 || disturbance.target < 0 ||
                   disturbance.target == gateway) &&
                  disturbance.from <= until &&
-                 disturbance.until + kRecoveryMargin >= from;
+                 disturbance.until + margin >= from;
         });
   }
 
@@ -115,8 +121,11 @@
       Add("whole answers", "no Server-Signature: " + Describe(exchange));
     if (is_success && outcome.is_complete && !outcome.has_expected_body)
       Add("whole answers", "unexpected body: " + Describe(exchange));
-    if (exchange.request.key_version == 0 &&
-        kDenialStatuses.count(outcome.status) > 0)
+    // CheckConfigVersions covers refusals that depend on the version in force.
+    const bool depends_on_version =
+        exchange.request.key_version != 0 ||
+        (exchange.request.route_from != 0 && outcome.status == kNotFound);
+    if (!depends_on_version && kDenialStatuses.count(outcome.status) > 0)
       Add("denied", "valid request refused: " + Describe(exchange));
   }
 
@@ -190,29 +199,62 @@
   }
 
   // Each configuration version accepts exactly one key of the changing account,
-  // so the accepted key identifies the version in force.
+  // so the accepted key identifies the version in force. A route limits it to
+  // the versions with the route or to those without it.
   void CheckConfigVersions() {
     std::map<std::pair<int, int>, std::pair<std::uint64_t, Time>> newest;
+    std::map<std::pair<int, int>, Time> boots;
     for (const Exchange& exchange : records_.exchanges) {
       const Request& request = exchange.request;
-      if (request.key_version == 0)
+      const auto [boot, is_first] =
+          boots.emplace(std::pair(request.gateway, request.boot), request.sent);
+      boot->second = std::min(boot->second, request.sent);
+    }
+    for (const Exchange& exchange : records_.exchanges) {
+      const Request& request = exchange.request;
+      if (request.key_version == 0 && request.route_from == 0)
         continue;
+      const bool is_key = request.key_version != 0;
       const bool accepted = exchange.outcome.status == kOk;
-      const bool refused = exchange.outcome.status == kUnauthorized;
+      const bool refused =
+          exchange.outcome.status == (is_key ? kUnauthorized : kNotFound);
+      // Versions that accept the request: `from` and later, before `until`.
+      const std::uint64_t from =
+          is_key ? request.key_version : request.route_from;
+      const std::uint64_t until =
+          is_key ? request.key_version + 1 : request.route_until;
       auto& [newest_seen, since] = newest[{request.gateway, request.boot}];
-      if (accepted && request.key_version < newest_seen &&
-          request.sent > since + bounds_.rollback_slack)
+      const bool is_older = (accepted && until <= newest_seen) ||
+                            (refused && from <= newest_seen &&
+                             NewestVersionAt(exchange.outcome.ended) < until);
+      if (is_older && request.sent > since + bounds_.rollback_slack)
         Add("configuration", "rolled back from " + std::to_string(newest_seen) +
-                                 " to " + std::to_string(request.key_version) +
-                                 ": " + Describe(exchange));
-      if (accepted && request.key_version > newest_seen) {
-        newest_seen = request.key_version;
+                                 " for " + std::to_string(from) + ": " +
+                                 Describe(exchange));
+      if (accepted && from > newest_seen) {
+        newest_seen = from;
         since = exchange.outcome.ended;
       }
-      CheckPropagation(exchange, accepted, refused);
+      if (is_key)
+        CheckPropagation(exchange, accepted, refused);
+      // A process reads the configuration before it becomes ready, so only
+      // restarts delay it during the run.
+      const Time started = request.boot > 1
+                               ? boots[{request.gateway, request.boot}]
+                               : Time::min();
+      CheckCatchUp(exchange, started, accepted, refused, from, until);
     }
   }
 
+  std::uint64_t NewestVersionAt(Time time) const {
+    std::uint64_t newest = 0;
+    for (const ConfigVersion& version : records_.versions) {
+      if (version.stored <= time)
+        newest = std::max(newest, version.number);
+    }
+    return newest;
+  }
+
   void CheckPropagation(const Exchange& exchange, bool accepted, bool refused) {
     const Request& request = exchange.request;
     const Time propagated_before =
@@ -236,6 +278,32 @@
           "key of the version in force refused: " + Describe(exchange));
   }
 
+  // A gateway that has reached the store for the catch-up bound and the bound
+  // for a change has in force the version at the start of the latter, or a
+  // later one.
+  void CheckCatchUp(const Exchange& exchange,
+                    Time started,
+                    bool accepted,
+                    bool refused,
+                    std::uint64_t from,
+                    std::uint64_t until) {
+    const Request& request = exchange.request;
+    const milliseconds access = bounds_.catch_up + bounds_.change;
+    if (started > request.sent - access ||
+        IsDisturbed(kStoreAccess, request.gateway, request.sent,
+                    exchange.outcome.ended, access))
+      return;
+    const std::uint64_t in_force =
+        NewestVersionAt(request.sent - bounds_.change);
+    const bool is_outdated = (accepted && until <= in_force) ||
+                             (refused && in_force > 0 && from <= in_force &&
+                              NewestVersionAt(exchange.outcome.ended) < until);
+    if (is_outdated)
+      Add("catch up", "version " + std::to_string(in_force) +
+                          " not in force for " + std::to_string(from) + ": " +
+                          Describe(exchange));
+  }
+
   const Records& records_;
   const Bounds bounds_;
   std::map<std::string, std::vector<const Run*>> runs_;
--- a/tests/soak/invariants.h
+++ b/tests/soak/invariants.h
@@ -12,6 +12,10 @@
 struct Bounds {
   std::chrono::milliseconds drain{2500};
   std::chrono::milliseconds propagation{2500};
+  // Time to read the newest configuration once the store can be reached again,
+  // and the time for a change to be in force afterwards.
+  std::chrono::milliseconds catch_up{6000};
+  std::chrono::milliseconds change{4000};
   std::chrono::milliseconds rollback_slack{250};
   std::int64_t tokens_per_event = 5;
 };
--- a/tests/soak/records.h
+++ b/tests/soak/records.h
@@ -37,6 +37,10 @@
   // Configuration version of the API key if the configuration changes the
   // key, otherwise 0.
   std::uint64_t key_version = 0;
+  // The first version with the requested route and the first without it again;
+  // both 0 for a route that all versions have.
+  std::uint64_t route_from = 0;
+  std::uint64_t route_until = 0;
 };
 
 // The response that a caller received.
@@ -69,7 +73,9 @@
 
 // A fault or maintenance operation of the soak and its duration.
 struct Disturbance {
-  enum class Component { kGateway, kCallerLink, kStore, kBackend };
+  // kStore keeps gateways from reaching the store. kStoreData affects what a
+  // store that can be reached answers.
+  enum class Component { kGateway, kCallerLink, kStore, kStoreData, kBackend };
   // Planned maintenance does not justify a truncated response.
   enum class Category { kPlanned, kUnplanned };
   Component component = Component::kGateway;
--- a/tests/unit/soak/invariants_test.cc
+++ b/tests/unit/soak/invariants_test.cc
@@ -153,3 +153,126 @@
     CHECK(fixture.FirstViolation() == "configuration");
   }
 }
+
+namespace {
+
+// A request for the route that version 13 added and version 19 removed, sent at
+// 0 ms to a gateway that lost the store until -12000 ms.
+struct RouteFixture : Fixture {
+  RouteFixture() {
+    request().route_from = 13;
+    request().route_until = 19;
+    records.versions = {{10, At(-30000)}, {13, At(-11000)}};
+    Lose(-12000);
+  }
+  // The store cannot be reached for 2 s until `until_ms`.
+  void Lose(int until_ms,
+            Disturbance::Component component = Disturbance::Component::kStore) {
+    records.disturbances = {{component, Disturbance::Category::kUnplanned, 0,
+                             "x", At(until_ms - 2000), At(until_ms)}};
+  }
+  void Refuse() {
+    outcome().status = 404;
+    records.runs.clear();
+  }
+};
+
+}  // namespace
+
+TEST_CASE("A route of the version in force that is refused is reported",
+          "[soak]") {
+  RouteFixture fixture;
+  CHECK(fixture.FirstViolation().empty());
+  fixture.Refuse();
+  CHECK(fixture.FirstViolation() == "catch up");
+  SECTION("with later versions that have the route too") {
+    fixture.records.versions.push_back({16, At(-100)});
+    CHECK(fixture.FirstViolation() == "catch up");
+  }
+  SECTION("not reported once a version without it is stored") {
+    fixture.records.versions.push_back({19, At(50)});
+    CHECK(fixture.FirstViolation().empty());
+  }
+  SECTION("not reported within the bound for a change") {
+    fixture.records.versions[1].stored = At(-3999);
+    CHECK(fixture.FirstViolation().empty());
+  }
+  SECTION("reported after the bound for a change") {
+    fixture.records.versions[1].stored = At(-4001);
+    CHECK(fixture.FirstViolation() == "catch up");
+  }
+  SECTION("not reported within the bounds after the store's return") {
+    fixture.Lose(-9999);
+    CHECK(fixture.FirstViolation().empty());
+  }
+  SECTION("reported if the store could be reached") {
+    fixture.Lose(-5000, Disturbance::Component::kStoreData);
+    CHECK(fixture.FirstViolation() == "catch up");
+  }
+  SECTION("reported for another gateway's loss of the store") {
+    fixture.Lose(-5000);
+    fixture.records.disturbances[0].target = 1;
+    CHECK(fixture.FirstViolation() == "catch up");
+  }
+  SECTION("not reported shortly after a restart") {
+    fixture.request().boot = 2;
+    CHECK(fixture.FirstViolation().empty());
+    Exchange earlier = fixture.records.exchanges[0];
+    earlier.request.sent = At(-10001);
+    earlier.outcome.ended = At(-9950);
+    earlier.request.route_from = 0;
+    earlier.outcome.status = 200;
+    fixture.records.exchanges.push_back(earlier);
+    CHECK(fixture.FirstViolation() == "catch up");
+  }
+  SECTION("with another refusal, at any time") {
+    fixture.Lose(-1);
+    fixture.outcome().status = GENERATE(400, 401, 403);
+    CHECK(fixture.FirstViolation() == "denied");
+  }
+}
+
+TEST_CASE("A route that the version in force has removed is reported",
+          "[soak]") {
+  RouteFixture fixture;
+  fixture.records.versions.push_back({19, At(-4001)});
+  CHECK(fixture.FirstViolation() == "catch up");
+  fixture.records.versions.back().stored = At(-3999);
+  CHECK(fixture.FirstViolation().empty());
+}
+
+TEST_CASE("A key of the version in force that is refused is reported",
+          "[soak]") {
+  RouteFixture fixture;
+  fixture.request().route_from = 0;
+  fixture.request().key_version = 13;
+  fixture.records.versions[1].stored = At(-4001);
+  fixture.Lose(-10001);
+  fixture.outcome().status = 401;
+  fixture.records.runs.clear();
+  const auto violations = CheckInvariants(fixture.records, Bounds());
+  REQUIRE_FALSE(violations.empty());
+  CHECK(violations.back().invariant == "catch up");
+}
+
+TEST_CASE("A route that shows a rollback is reported", "[soak]") {
+  RouteFixture fixture;
+  fixture.Lose(-1);
+  Exchange later = fixture.records.exchanges[0];
+  later.request.sent = At(400);
+  later.outcome.ended = At(450);
+  SECTION("refused after it was served") {
+    later.outcome.status = 404;
+    fixture.records.exchanges.push_back(later);
+    CHECK(fixture.FirstViolation() == "configuration");
+    fixture.records.exchanges[1].request.boot = 2;
+    CHECK(fixture.FirstViolation().empty());
+  }
+  SECTION("served after a version without it") {
+    fixture.records.versions.push_back({19, At(-100)});
+    fixture.request().route_from = 19;
+    fixture.request().route_until = 25;
+    fixture.records.exchanges.push_back(later);
+    CHECK(fixture.FirstViolation() == "configuration");
+  }
+}
