Store series of large configurations in the soak, across losses of the store

Every second seed, on average, adds series of 20 to 40 versions, 0.1 to 0.4 s apart, and for each two to four losses of the store that start shortly before it or during it: the store down, a gateway's link degraded, a gateway killed. Their draws are separate, so that a seed keeps its other faults. Half of the gateways' store links are limited to 10 Mbit/s for the whole run. Faults start in the order of their times; a repeated fault delayed the next one before.

The line of a seed counts changes and series of changes too, and shows the links.

--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -26,6 +26,13 @@
 // announcement.
 constexpr milliseconds kDrainTime{3500};
 constexpr milliseconds kLinkDelay{150};
+// A link of 10 Mbit/s.
+constexpr std::size_t kSlowStoreLinkBytesPerS = 1250000;
+// Start of a series of configurations after the end of the one before, at most.
+constexpr milliseconds kMaxSeriesGap{4000};
+// Keep the draws for series and links apart from those for the other faults.
+constexpr unsigned kSeriesSeed = 0x53455249;
+constexpr unsigned kLinkSeed = 0x4c494e4b;
 
 LinkFault DrawLinkFault(std::mt19937& random) {
   return static_cast<LinkFault>(random() % 5);
@@ -65,8 +72,57 @@
   }
 }
 
+Fault DrawStoreLoss(std::mt19937& random, int gateways) {
+  const int gateway = static_cast<int>(random() % gateways);
+  switch (random() % 5) {
+    case 0:
+    case 1:
+      return StoreDown{};
+    case 2:
+      return KillGateway{gateway};
+    default:
+      return DegradeStoreLink{gateway, DrawLinkFault(random)};
+  }
+}
+
+// Adds series of 20 to 40 configurations and, for each, losses of the store
+// that start up to half a second before it or during it.
+void AddSeries(unsigned seed,
+               milliseconds length,
+               int gateways,
+               std::vector<PlannedFault>& faults) {
+  std::mt19937 random(seed ^ kSeriesSeed);
+  if (random() % 2 == 0)
+    return;
+  for (milliseconds start(1000 + random() % 2000); start < length;
+       start += milliseconds(random() % kMaxSeriesGap.count())) {
+    const int versions = 20 + static_cast<int>(random() % 21);
+    const milliseconds interval(100 + random() % 301);
+    const milliseconds duration = versions * interval;
+    faults.push_back(
+        {start, duration, ChangeConfigurationOften{versions, interval}});
+    const unsigned losses = 2 + random() % 3;
+    for (unsigned i = 0; i < losses; ++i) {
+      const milliseconds offset(random() % (duration.count() + 500));
+      faults.push_back(
+          {start - milliseconds(500) + offset,
+           milliseconds(500 + random() % kMaxFaultDuration.count()),
+           DrawStoreLoss(random, gateways)});
+    }
+    start += duration;
+  }
+}
+
 }  // namespace
 
+std::vector<std::size_t> PlanStoreLinks(unsigned seed, int gateways) {
+  std::mt19937 random(seed ^ kLinkSeed);
+  std::vector<std::size_t> rates;
+  for (int gateway = 0; gateway < gateways; ++gateway)
+    rates.push_back(random() % 2 == 0 ? kSlowStoreLinkBytesPerS : 0);
+  return rates;
+}
+
 std::vector<PlannedFault> PlanFaults(unsigned seed,
                                      milliseconds length,
                                      int gateways) {
@@ -81,7 +137,7 @@
   for (;;) {
     start += milliseconds(static_cast<std::int64_t>(interval(random)));
     if (start >= length)
-      return faults;
+      break;
     const milliseconds duration(100 + random() % kMaxFaultDuration.count());
     const unsigned kind = kinds[random() % kinds.size()];
     // One draw in four adds three faults of the same kind, 200 ms apart.
@@ -91,6 +147,12 @@
                         DrawFault(kind, random, gateways)});
     }
   }
+  AddSeries(seed, length, gateways, faults);
+  std::stable_sort(faults.begin(), faults.end(),
+                   [](const PlannedFault& a, const PlannedFault& b) {
+                     return a.start < b.start;
+                   });
+  return faults;
 }
 
 std::size_t FaultInjector::BeginDisturbance(Disturbance::Component component,
@@ -213,6 +275,19 @@
   EndDisturbance(index);
 }
 
+void FaultInjector::StoreConfigurations(std::string what,
+                                        int versions,
+                                        milliseconds interval) {
+  const std::size_t index =
+      BeginDisturbance(Disturbance::Component::kStoreData,
+                       Disturbance::Category::kPlanned, -1, std::move(what));
+  for (int i = 0; i < versions; ++i) {
+    fleet_.StoreNextConfiguration();
+    std::this_thread::sleep_for(interval);
+  }
+  EndDisturbance(index);
+}
+
 void FaultInjector::Inject(const PlannedFault& planned) {
   using Component = Disturbance::Component;
   constexpr auto kUnplanned = Disturbance::Category::kUnplanned;
@@ -267,14 +342,15 @@
             });
           },
           [&](const StoreDropsAnswers&) {
-            record_during(Component::kStore, -1, "store loses answers", [&] {
-              fleet_.store().SetLoseAnswers(true);
-              std::this_thread::sleep_for(planned.duration);
-              fleet_.store().SetLoseAnswers(false);
-            });
+            record_during(Component::kStoreData, -1, "store loses answers",
+                          [&] {
+                            fleet_.store().SetLoseAnswers(true);
+                            std::this_thread::sleep_for(planned.duration);
+                            fleet_.store().SetLoseAnswers(false);
+                          });
           },
           [&](const StoreDropsHistory&) {
-            record_during(Component::kStore, -1, "store forgets",
+            record_during(Component::kStoreData, -1, "store forgets",
                           [&] { fleet_.store().DiscardHistory(); });
           },
           [&](const KillBackend&) {
@@ -316,10 +392,14 @@
                           [&] { fleet_.StopBackend(id); });
           },
           [&](const ChangeConfiguration&) {
-            for (int i = 0; i < 3; ++i) {
-              fleet_.StoreNextConfiguration();
-              std::this_thread::sleep_for(planned.duration / 4);
-            }
+            StoreConfigurations("changes", 3, planned.duration / 4);
+          },
+          [&](const ChangeConfigurationOften& fault) {
+            const std::unique_lock<std::mutex> lock(series_mutex_,
+                                                    std::try_to_lock);
+            if (lock)
+              StoreConfigurations("series of changes", fault.versions,
+                                  fault.interval);
           }},
       planned.fault);
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -68,6 +68,12 @@
 struct RetireBackend {};
 // Stores three new configurations in succession.
 struct ChangeConfiguration {};
+// Stores `versions` configurations, one every `interval`. Skipped while another
+// series runs.
+struct ChangeConfigurationOften {
+  int versions;
+  std::chrono::milliseconds interval;
+};
 
 using Fault = std::variant<KillGateway,
                            RestartGateway,
@@ -82,7 +88,8 @@
                            KillBackend,
                            FreezeBackend,
                            RetireBackend,
-                           ChangeConfiguration>;
+                           ChangeConfiguration,
+                           ChangeConfigurationOften>;
 
 struct PlannedFault {
   std::chrono::milliseconds start{0};
@@ -90,13 +97,19 @@
   Fault fault;
 };
 
-// Returns the faults of a run of `length`, in the order in which they are
-// generated; they may overlap. Each seed selects a few kinds of fault, so that
-// runs differ in which faults are combined. A pure function.
+// Returns the faults of a run of `length`, in the order of their start; they
+// may overlap. Each seed selects a few kinds of fault, so that runs differ in
+// which faults are combined. Every second seed, on average, adds series of
+// configurations, each with gateways that lose the store meanwhile. A pure
+// function.
 std::vector<PlannedFault> PlanFaults(unsigned seed,
                                      std::chrono::milliseconds length,
                                      int gateways);
 
+// Returns the bandwidth of each gateway's link to the store in bytes per
+// second, 0 for no limit. A pure function.
+std::vector<std::size_t> PlanStoreLinks(unsigned seed, int gateways);
+
 // Injects faults and records them. Inject blocks until its fault has been
 // reverted; concurrent calls are allowed.
 class FaultInjector {
@@ -119,6 +132,9 @@
   void EndDisturbance(std::size_t index);
   void InjectOnGateway(const PlannedFault& planned, int gateway);
   void Restart(int gateway);
+  void StoreConfigurations(std::string what,
+                           int versions,
+                           std::chrono::milliseconds interval);
   void DegradeLink(FaultProxy& link,
                    LinkFault link_fault,
                    std::chrono::milliseconds duration);
@@ -132,6 +148,8 @@
   std::vector<DrainAnnouncement> drain_announcements_;
   std::vector<Violation> violations_;
   std::mt19937 random_{1};
+  // Held while a series of configurations is stored.
+  std::mutex series_mutex_;
   // Held while a fault acts on the gateway's process.
   std::array<std::mutex, 16> gateway_mutexes_;
 };
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/soak.h"
 
+#include <algorithm>
 #include <atomic>
 #include <fstream>
 #include <list>
@@ -112,6 +113,33 @@
   }
 }
 
+// Checks that every gateway has the newest configuration within the bounds.
+void CheckCatchUp(Fleet& fleet,
+                  ExchangeLog& log,
+                  std::vector<Violation>& violations) {
+  const Bounds bounds;
+  const std::uint64_t newest = fleet.versions().back().number;
+  const Time deadline = steady_clock::now() + bounds.catch_up + bounds.change;
+  for (int gateway = 0; gateway < fleet.options().gateways; ++gateway) {
+    int number = 0;
+    const bool is_current = WaitUntil(
+        std::max(kPollInterval,
+                 duration_cast<milliseconds>(deadline - steady_clock::now())),
+        [&] {
+          const Exchange exchange = SendRouteProbe(
+              fleet, gateway, newest,
+              "u-" + std::to_string(gateway) + "-" + std::to_string(number++));
+          log.Add(exchange);
+          return exchange.outcome.status == 200;
+        });
+    if (!is_current)
+      violations.push_back({"catch up", "gateway " + std::to_string(gateway) +
+                                            " does not have version " +
+                                            std::to_string(newest) +
+                                            " after the last fault"});
+  }
+}
+
 void CheckGateways(Fleet& fleet, std::vector<Violation>& violations) {
   for (int gateway = 0; gateway < fleet.options().gateways; ++gateway) {
     if (const auto status = fleet.GatewayStatus(gateway))
@@ -121,7 +149,8 @@
   }
 }
 
-json Summarize(const Records& records) {
+json Summarize(const Records& records,
+               const std::vector<std::size_t>& store_links) {
   json statuses = json::object();
   int incomplete = 0;
   for (const Exchange& exchange : records.exchanges) {
@@ -138,6 +167,7 @@
           {"statuses", statuses},
           {"not_complete", incomplete},
           {"versions", records.versions.size()},
+          {"store_links_bytes_per_s", store_links},
           {"disturbances", disturbances}};
 }
 
@@ -160,12 +190,16 @@
     file << json{{"leaves", announcement.backend},
                  {"at_ms", at(announcement.announced)}}
          << "\n";
+  for (const ConfigVersion& version : records.versions)
+    file << json{{"version", version.number}, {"at_ms", at(version.stored)}}
+         << "\n";
   for (const Exchange& exchange : records.exchanges)
     file << json{{"request", exchange.request.id},
                  {"gateway", exchange.request.gateway},
                  {"boot", exchange.request.boot},
                  {"kind", static_cast<int>(exchange.request.kind)},
                  {"key", exchange.request.key_version},
+                 {"route", exchange.request.route_from},
                  {"sent_ms", at(exchange.request.sent)},
                  {"ended_ms", at(exchange.outcome.ended)},
                  {"status", exchange.outcome.status},
@@ -187,7 +221,10 @@
   SoakResult result;
   Records records;
   {
-    Fleet fleet(options.fleet);
+    FleetOptions fleet_options = options.fleet;
+    fleet_options.store_link_bytes_per_s =
+        PlanStoreLinks(options.seed, options.fleet.gateways);
+    Fleet fleet(fleet_options);
     const bool is_ready = WaitUntil(kStartTimeout, [&] {
       for (int gateway = 0; gateway < options.fleet.gateways; ++gateway) {
         if (!fleet.IsReady(gateway))
@@ -213,8 +250,10 @@
       });
     }
     threads.emplace_back([&] { RunKeyProber(fleet, is_stopping, log); });
+    threads.emplace_back([&] { RunRouteProber(fleet, is_stopping, log); });
     InjectAll(PlanFaults(options.seed, options.length, options.fleet.gateways),
               injector);
+    CheckCatchUp(fleet, log, result.violations);
     CheckRecovery(fleet, log, result.violations);
     is_stopping = true;
     for (std::thread& thread : threads)
@@ -233,7 +272,8 @@
   }
   for (const Violation& violation : CheckInvariants(records, Bounds()))
     result.violations.push_back(violation);
-  result.summary = Summarize(records);
+  result.summary =
+      Summarize(records, PlanStoreLinks(options.seed, options.fleet.gateways));
   WriteTimeline(records, options.fleet.folder + "/timeline.jsonl", start);
   return result;
 }
--- a/tests/unit/soak/plan_test.cc
+++ b/tests/unit/soak/plan_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -25,3 +26,57 @@
   }
   CHECK(kinds.size() == std::variant_size_v<Fault>);
 }
+
+TEST_CASE("Faults are ordered by their start", "[soak]") {
+  const auto faults =
+      PlanFaults(GENERATE(range(1u, 20u)), milliseconds(12000), 3);
+  CHECK(std::is_sorted(faults.begin(), faults.end(),
+                       [](const PlannedFault& a, const PlannedFault& b) {
+                         return a.start < b.start;
+                       }));
+}
+
+TEST_CASE("A third of the seeds loses the store during a series of changes",
+          "[soak]") {
+  constexpr unsigned kSeeds = 60;
+  unsigned seeds = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    const auto faults = PlanFaults(seed, milliseconds(12000), 3);
+    const auto is_series = [](const PlannedFault& planned) {
+      return std::holds_alternative<ChangeConfigurationOften>(planned.fault);
+    };
+    const auto is_loss = [](const PlannedFault& planned) {
+      return std::holds_alternative<StoreDown>(planned.fault) ||
+             std::holds_alternative<DegradeStoreLink>(planned.fault) ||
+             std::holds_alternative<KillGateway>(planned.fault);
+    };
+    const auto overlaps = [](const PlannedFault& a, const PlannedFault& b) {
+      return a.start < b.start + b.duration && b.start < a.start + a.duration;
+    };
+    const bool meets = std::any_of(
+        faults.begin(), faults.end(), [&](const PlannedFault& series) {
+          return is_series(series) &&
+                 std::any_of(faults.begin(), faults.end(),
+                             [&](const PlannedFault& loss) {
+                               return is_loss(loss) && overlaps(series, loss);
+                             });
+        });
+    seeds += meets ? 1 : 0;
+  }
+  CHECK(seeds >= kSeeds / 3);
+}
+
+TEST_CASE("Links to the store differ in bandwidth within a seed", "[soak]") {
+  std::set<std::size_t> rates;
+  bool differs_within_seed = false;
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    const std::vector<std::size_t> links = PlanStoreLinks(seed, 3);
+    REQUIRE(links.size() == 3);
+    CHECK(links == PlanStoreLinks(seed, 3));
+    const std::set<std::size_t> distinct(links.begin(), links.end());
+    differs_within_seed |= distinct.size() == 2;
+    rates.insert(distinct.begin(), distinct.end());
+  }
+  CHECK(rates.size() == 2);
+  CHECK(differs_within_seed);
+}
