Give every probe of the soak a body of its own

All have it: they answered 503, code 404 ('backend servers crashed while running this request') from 10 s to the end, as all route probes had one body, which ran at backend servers that the soak killed. Key probes had one body too, so that nothing was checked with them from then on.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -273,10 +273,11 @@
     request.time_limit = kRouteTimeout;
     CallerConnection connection(fleet.caller_port(gateway));
     request.sent = steady_clock::now();
-    log.Add({request,
-             connection.Exchange(
-                 request, KeyOf(kChangingAccount, request.key_version), "probe",
-                 request.sent + request.time_limit + kLateAnswerWindow)});
+    log.Add(
+        {request,
+         connection.Exchange(
+             request, KeyOf(kChangingAccount, request.key_version), request.id,
+             request.sent + request.time_limit + kLateAnswerWindow)});
     std::this_thread::sleep_for(kKeyProbeInterval);
   }
 }
@@ -313,7 +314,7 @@
   CallerConnection connection(fleet.caller_port(gateway));
   request.sent = steady_clock::now();
   return {request, connection.Exchange(
-                       request, KeyOf(request.account, 0), "route",
+                       request, KeyOf(request.account, 0), request.id,
                        request.sent + request.time_limit + kLateAnswerWindow)};
 }
 
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -76,7 +76,8 @@
                ExchangeLog& log);
 
 // Sends requests to each gateway in turn until `is_stopping`, alternating the
-// newest and the previous API key of the account whose key changes.
+// newest and the previous API key of the account whose key changes. Probes have
+// distinct bodies, as gateways refuse a body that backend servers crashed with.
 void RunKeyProber(Fleet& fleet,
                   const std::atomic<bool>& is_stopping,
                   ExchangeLog& log);
