--- a/tests/sessions/gateway/config_catch_up_test.cc
+++ b/tests/sessions/gateway/config_catch_up_test.cc
@@ -52,7 +52,7 @@
 // the changes that it has to transfer grow.
 TEST_CASE(
     "A gateway has the newest configuration after an outage with many changes",
-    "[gateway][!mayfail]") {
+    "[gateway]") {
   GatewayFixture fleet(LargeState(1, kRoutes));
   fleet.AddEngine("i-1", WholeAnswer);
   fleet.store.SetBytesPerSecond(1000000);
@@ -67,7 +67,7 @@
 // Guards against a time limit for the whole answer of the store that a large
 // configuration on a slow link never meets.
 TEST_CASE("A gateway reads a configuration that takes long to arrive",
-          "[gateway][!mayfail]") {
+          "[gateway]") {
   GatewayFixture fleet;
   fleet.AddEngine("i-1", WholeAnswer);
   fleet.Stop();
