--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -76,11 +76,25 @@
                ExchangeLog& log);
 
 // Sends requests to each gateway in turn until `is_stopping`, alternating the
-// newest and the previous API key of the account whose key changes.
+// newest and the previous API key of the account whose key changes. Probes have
+// distinct bodies, as gateways refuse a body that backend servers crashed with.
 void RunKeyProber(Fleet& fleet,
                   const std::atomic<bool>& is_stopping,
                   ExchangeLog& log);
 
+// Sends requests to each gateway in turn until `is_stopping`, alternating the
+// route that the newest version added and one of an earlier version, which may
+// be gone.
+void RunRouteProber(Fleet& fleet,
+                    const std::atomic<bool>& is_stopping,
+                    ExchangeLog& log);
+
+// Sends one request for the route that `version` added over a new connection.
+Exchange SendRouteProbe(Fleet& fleet,
+                        int gateway,
+                        std::uint64_t version,
+                        const std::string& id);
+
 // Sends one request of `kind` over a new connection.
 Exchange SendOneRequest(Fleet& fleet,
                         int gateway,
