Apply the size limit of a store response whatever comes with its head

Change: the parser is not eager. Evidence: unit_platform 'A response above the limit of its call is not read', section 'with its length', failed before (outcome unknown) and passes. The new file also covers responses cut midway, stalled, trickling, malformed, and endless in a head or a body; these passed before.

--- a/src/dandelionmill/platform/store_client.cc
+++ b/src/dandelionmill/platform/store_client.cc
@@ -131,7 +131,9 @@
   void Receive() {
     parser_.emplace();
     parser_->body_limit(max_bytes_);
-    parser_->eager(true);
+    // An eager parser loses the error of a Content-Length above the limit when
+    // bytes of the body come with the header fields.
+    parser_->eager(false);
     ReceiveSome();
   }
 
--- a/standins/backend/scripted_engine.h
+++ b/standins/backend/scripted_engine.h
@@ -31,11 +31,11 @@
   struct Step {
     std::string bytes;
     std::chrono::milliseconds pause_before{0};
-    // If set, the pause also lasts until this returns true.
-    std::function<bool()> is_released = nullptr;
     // Sends `bytes` again and again until the peer closes the connection or
     // kMaxRepeatedBytes are sent.
     bool repeats = false;
+    // If set, the pause also lasts until this returns true.
+    std::function<bool()> is_released = nullptr;
   };
   struct Answer {
     std::vector<Step> steps;
--- /dev/null
+++ b/tests/unit/platform/store_client_test.cc
@@ -0,0 +1,132 @@
+#include "dandelionmill/platform/store_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+
+#include "standins/backend/scripted_engine.h"
+
+using dandelionmill::platform::StoreClient;
+using dandelionmill::storage::CallOutcome;
+using dandelionmill::storage::TableResponse;
+using standins::backend::ScriptedEngine;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kPort = 28195;
+constexpr milliseconds kTimeout{300};
+constexpr std::size_t kMaxBytes = 100000;
+const std::string kRow =
+    R"({"rows":[{"table":"t","part":"","key":"k","value":"YQ==",)"
+    R"("rowVersion":7}],"rowVersion":7,"nowMs":1,"morePages":false})";
+
+std::string Head(std::size_t length) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+         "Content-Length: " +
+         std::to_string(length) + "\r\n\r\n";
+}
+
+// Answers one feed call with `answer` and returns what the client makes of it.
+TableResponse FollowWith(ScriptedEngine::Answer answer) {
+  ScriptedEngine store(
+      kPort, [&answer](const ScriptedEngine::Request&) { return answer; });
+  boost::asio::io_context loop;
+  StoreClient client(loop, {"127.0.0.1", kPort});
+  std::optional<TableResponse> received;
+  client.Follow("t", 1, milliseconds(0), kTimeout, kMaxBytes,
+                [&](TableResponse response) {
+                  received = std::move(response);
+                  loop.stop();
+                });
+  loop.run_for(std::chrono::seconds(20));
+  REQUIRE(received);
+  return *received;
+}
+
+using Then = ScriptedEngine::Answer::Then;
+
+}  // namespace
+
+TEST_CASE("A response that arrives slowly is read to its end", "[platform]") {
+  // Three times the timeout in all.
+  ScriptedEngine::Answer answer;
+  answer.steps.push_back({Head(kRow.size()), milliseconds(0)});
+  for (std::size_t i = 0; i < kRow.size(); i += kRow.size() / 4 + 1) {
+    answer.steps.push_back(
+        {kRow.substr(i, kRow.size() / 4 + 1), milliseconds(i == 0 ? 0 : 60)});
+  }
+  const TableResponse response = FollowWith(answer);
+  CHECK(response.outcome == CallOutcome::kDone);
+  REQUIRE(response.rows.size() == 1);
+  CHECK(response.rows[0].value == "a");
+  CHECK(response.bytes == kRow.size());
+}
+
+// Guards against changes that are transferred although reading the table takes
+// less.
+TEST_CASE("A response above the limit of its call is not read", "[platform]") {
+  ScriptedEngine::Answer answer;
+  SECTION("with its length") {
+    answer.steps.push_back({Head(kMaxBytes + 1), milliseconds(0)});
+    answer.steps.push_back({"{", milliseconds(0)});
+  }
+  SECTION("in chunks without end") {
+    answer.steps.push_back(
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         milliseconds(0)});
+    answer.steps.push_back({"4\r\n    \r\n", milliseconds(0), true});
+  }
+  SECTION("without end or framing") {
+    answer.steps.push_back({"HTTP/1.1 200 OK\r\n\r\n", milliseconds(0)});
+    answer.steps.push_back({std::string(1000, ' '), milliseconds(0), true});
+  }
+  const TableResponse response = FollowWith(answer);
+  CHECK(response.outcome == CallOutcome::kTooLarge);
+  CHECK(response.bytes <= kMaxBytes);
+}
+
+// Guards against a bad answer of the store that is taken for an answer without
+// rows, or that keeps a call open.
+TEST_CASE("A response that is no answer has an unknown outcome", "[platform]") {
+  ScriptedEngine::Answer answer;
+  std::string reason;
+  SECTION("cut midway") {
+    answer.steps.push_back(
+        {Head(kRow.size()) + kRow.substr(0, 50), milliseconds(0)});
+    answer.then = Then::kClose;
+    reason = "50 of";
+  }
+  SECTION("that stops arriving") {
+    answer.steps.push_back(
+        {Head(kRow.size()) + kRow.substr(0, 50), milliseconds(0)});
+    reason = "timeout after 50 of";
+  }
+  SECTION("that arrives one byte at a time") {
+    answer.steps.push_back({Head(kMaxBytes), milliseconds(0)});
+    for (int i = 0; i < 100; ++i)
+      answer.steps.push_back({" ", milliseconds(20)});
+    reason = "timeout after";
+  }
+  SECTION("that is not JSON") {
+    answer.steps.push_back({Head(5) + "rows?", milliseconds(0)});
+    reason = "not a JSON object";
+  }
+  SECTION("with header fields without end") {
+    answer.steps.push_back({"HTTP/1.1 200 OK\r\n", milliseconds(0)});
+    answer.steps.push_back({"A: b\r\n", milliseconds(0), true});
+    reason = "header limit";
+  }
+  SECTION("with a chunk extension without end") {
+    answer.steps.push_back(
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+         milliseconds(0)});
+    answer.steps.push_back({"a", milliseconds(0), true});
+    reason = "timeout after 0 of";
+  }
+  const TableResponse response = FollowWith(answer);
+  CHECK(response.outcome == CallOutcome::kUnknown);
+  CHECK_THAT(response.detail, Catch::Contains(reason));
+  CHECK(response.rows.empty());
+}
