Time a store response from its first byte, and count rows that are dropped

Evidence: unit_platform, section 'and begins late' (first byte after 200 of 300 ms, then a pause of 250 ms). The queued handler and the reconnect have no test.

--- a/src/dandelionmill/platform/store_client.cc
+++ b/src/dandelionmill/platform/store_client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "dandelionmill/base/units.h"
+#include "dandelionmill/log/event.h"
 #include "dandelionmill/platform/store_messages.h"
 
 namespace dandelionmill::platform {
@@ -27,9 +28,9 @@
 // before it is encoded.
 constexpr std::size_t kMaxResponseBytes = 8 << 20;
 
-// Longest pause within a response: allows for lost packets that TCP sends
+// Longest pause within a response: allows for a lost packet that TCP sends
 // again.
-constexpr std::chrono::milliseconds kStallTimeout{1000};
+constexpr std::chrono::milliseconds kStallTimeout{600};
 
 // Slowest rate, on average over a call, at which a response may arrive.
 constexpr std::size_t kMinBytesPerSecond = 16 << 10;
@@ -72,7 +73,6 @@
   }
 
   void Start() {
-    started_at_ = std::chrono::steady_clock::now();
     ArmTimer(timeout_);
     StoreClient& client = **client_;
     if (!client.idle_.empty()) {
@@ -89,7 +89,8 @@
   void ArmTimer(std::chrono::milliseconds timeout) {
     timer_.expires_after(timeout);
     timer_.async_wait([self = shared_from_this()](error_code error) {
-      if (!error)
+      // A handler that was queued before the timer was armed again is late.
+      if (!error && self->timer_.expiry() <= std::chrono::steady_clock::now())
         self->OnTimeout();
     });
   }
@@ -147,6 +148,8 @@
   }
 
   void OnReceived(error_code error) {
+    if (receiving_since_ == base::MonoTime())
+      receiving_since_ = std::chrono::steady_clock::now();
     if (error == http::error::body_limit) {
       // A commit with such a response may have been performed.
       Fail(is_commit_ ? storage::CallOutcome::kUnknown
@@ -170,7 +173,7 @@
     const std::chrono::milliseconds transfer_time(parser_->get().body().size() *
                                                   1000 / kMinBytesPerSecond);
     return std::chrono::steady_clock::now() >
-           started_at_ + timeout_ + transfer_time;
+           receiving_since_ + kStallTimeout + transfer_time;
   }
 
   // The store may have closed a reused connection while it was idle, so a read
@@ -178,6 +181,10 @@
   // performed it.
   void OnConnectionError(const std::string& reason) {
     if (is_reused_ && !is_commit_) {
+      parser_.reset();
+      receiving_since_ = base::MonoTime();
+      is_sent_ = false;
+      ArmTimer(timeout_);
       Connect();
       return;
     }
@@ -189,6 +196,12 @@
     storage::TableResponse response = DecodeStoreResponse(
         static_cast<int>(message.result_int()), message.body());
     response.bytes = message.body().size();
+    if (response.malformed_rows > 0) {
+      log::Event(log::Level::kError, "store_rows_rejected")
+          .With("target", std::string(request_.target()))
+          .With("rows", response.malformed_rows)
+          .With("version", response.version);
+    }
     if (message.keep_alive() && *client_ != nullptr &&
         (*client_)->idle_.size() < kMaxIdleConnections &&
         connection_->buffer.size() == 0)
@@ -242,7 +255,8 @@
   const bool is_commit_;
   const std::chrono::milliseconds timeout_;
   const std::size_t max_bytes_;
-  base::MonoTime started_at_{};
+  // When the response began.
+  base::MonoTime receiving_since_{};
   Handler handler_;
   asio::steady_timer timer_;
   http::request<http::string_body> request_;
--- a/src/dandelionmill/platform/store_messages.cc
+++ b/src/dandelionmill/platform/store_messages.cc
@@ -173,6 +173,8 @@
     for (const json& item : body["rows"]) {
       if (auto row = DecodeRow(item))
         answer.rows.push_back(*std::move(row));
+      else
+        ++answer.malformed_rows;
     }
   }
   return answer;
--- a/src/dandelionmill/platform/store_messages.h
+++ b/src/dandelionmill/platform/store_messages.h
@@ -27,7 +27,7 @@
 
 // Decodes the store's response. The outcome is kUnknown when the status is
 // unexpected, or when the body of a 200 or 412 response is not a JSON object.
-// Malformed rows are omitted.
+// Malformed rows are omitted and counted.
 storage::TableResponse DecodeStoreResponse(int status, const std::string& text);
 
 }  // namespace dandelionmill::platform
--- a/src/dandelionmill/storage/async_table.h
+++ b/src/dandelionmill/storage/async_table.h
@@ -72,6 +72,8 @@
   std::chrono::milliseconds store_time{0};
   // Reason for an outcome other than kDone, for logs.
   std::string detail;
+  // Rows that could not be decoded and are left out of `rows`.
+  int malformed_rows = 0;
   // Received bytes of the response's body, also if the call failed.
   std::size_t bytes = 0;
 };
--- a/tests/unit/platform/store_client_test.cc
+++ b/tests/unit/platform/store_client_test.cc
@@ -57,6 +57,11 @@
     answer.steps.push_back(
         {kRow.substr(i, kRow.size() / 4 + 1), milliseconds(i == 0 ? 0 : 60)});
   }
+  SECTION("in parts") {}
+  SECTION("and begins late") {
+    answer.steps[0].pause_before = milliseconds(200);
+    answer.steps[1].pause_before = milliseconds(250);
+  }
   const TableResponse response = FollowWith(answer);
   CHECK(response.outcome == CallOutcome::kDone);
   REQUIRE(response.rows.size() == 1);
