Count a configuration as confirmed only as of the call that confirmed it

A full read also gave every known crash report a new lifetime.

Change: an answer later than the long poll and its timeout confirms the time of its call, a full read that of its first page; a follower that falls behind, or a rejected configuration, is not confirmed; a feed answer with malformed rows is replaced by a full read; only new crash reports of a full read are merged.

Evidence: three tests of the follower, written with the change. They have not been run with the change taken out. The crash reports have no test.

--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -77,22 +77,25 @@
             token_pool_.AddReceivedTokens(account, tokens);
           }),
       borrower_(loop, lending_, settings.instance),
-      config_follower_(
-          loop,
-          store_,
-          platform::kDesiredStateTable,
-          {[this](const auto& row) { OnConfigRow(row); },
-           [this](const auto& rows) {
-             for (const auto& row : rows)
-               OnConfigRow(row);
-           },
-           [this](const TableFollower::Status& status) {
-             LogStoreStatus("config", status);
-           },
-           [this](const TableFollower::CatchUp& catch_up) {
-             LogCatchUp("config", catch_up);
-           },
-           [this] { context_.config_confirmed_at = base::BootClock::now(); }}),
+      config_follower_(loop,
+                       store_,
+                       platform::kDesiredStateTable,
+                       {[this](const auto& row) { OnConfigRow(row); },
+                        [this](const auto& rows) {
+                          for (const auto& row : rows)
+                            OnConfigRow(row);
+                        },
+                        [this](const TableFollower::Status& status) {
+                          LogStoreStatus("config", status);
+                        },
+                        [this](const TableFollower::CatchUp& catch_up) {
+                          if (!catch_up.is_complete)
+                            context_.config_confirmed_at = base::BootTime();
+                          LogCatchUp("config", catch_up);
+                        },
+                        [this](base::BootTime as_of) {
+                          context_.config_confirmed_at = as_of;
+                        }}),
       backend_follower_(
           loop,
           store_,
@@ -113,10 +116,7 @@
                       store_,
                       kCrashTable,
                       {[this](const auto& row) { OnCrashRow(row); },
-                       [this](const auto& rows) {
-                         for (const auto& row : rows)
-                           OnCrashRow(row);
-                       },
+                       [this](const auto& rows) { OnCrashRows(rows); },
                        [this](const TableFollower::Status& status) {
                          LogStoreStatus("crashes", status);
                        },
@@ -222,6 +222,7 @@
     log::Event(log::Level::kError, "config_rejected")
         .With("row_version", row.version)
         .With(base::ErrorOf(decoded));
+    context_.is_config_rejected = true;
     return;
   }
   const FleetConfigPtr& config = base::ValueOf(decoded);
@@ -244,6 +245,7 @@
       .With("bytes", row.value.size())
       .With("row_version", row.version);
   context_.config = config;
+  context_.is_config_rejected = false;
   context_.metrics.OnConfigVersion(
       static_cast<std::int64_t>(config->version()));
   token_pool_.SetAccounts(std::move(prepaid));
@@ -302,6 +304,7 @@
 
 void Gateway::OnCrashRow(const storage::VersionedRow& row) {
   const std::size_t separator = row.key.key.find(' ');
+  newest_crash_row_ = std::max(newest_crash_row_, row.version);
   if (row.deleted || separator == std::string::npos)
     return;
   context_.crash_guard.MergeReport(
@@ -310,6 +313,14 @@
       std::chrono::steady_clock::now());
 }
 
+void Gateway::OnCrashRows(const std::vector<storage::VersionedRow>& rows) {
+  const std::uint64_t newest_known = newest_crash_row_;
+  for (const storage::VersionedRow& row : rows) {
+    if (row.version > newest_known)
+      OnCrashRow(row);
+  }
+}
+
 void Gateway::PublishCrashReports() {
   storage::RowChange change;
   for (const CrashGuard::Report& report : context_.crash_guard.TakeReports()) {
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -55,6 +55,9 @@
   void OnBackendRow(const storage::VersionedRow& row);
   void OnBackendRows(const std::vector<storage::VersionedRow>& rows);
   void OnCrashRow(const storage::VersionedRow& row);
+  // Merges the reports of a full read that were not known before; the others
+  // would be kept for longer each time.
+  void OnCrashRows(const std::vector<storage::VersionedRow>& rows);
   void LogCatchUp(const char* table, const TableFollower::CatchUp& catch_up);
   void LogStoreStatus(const char* table, const TableFollower::Status& status);
   void OnInstances(int count, std::vector<peer::Instance> others);
@@ -80,6 +83,8 @@
   TableFollower config_follower_;
   TableFollower backend_follower_;
   TableFollower crash_follower_;
+  // Version of the newest crash report that was merged.
+  std::uint64_t newest_crash_row_ = 0;
   FleetMembers fleet_members_;
   StatusServer readiness_;
   StatusServer metrics_;
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -50,7 +50,8 @@
 
   // Whether the store has confirmed lately that `config` is the newest one.
   bool IsConfigCurrent() const {
-    return base::BootClock::now() - config_confirmed_at <= kMaxConfigAge;
+    return !is_config_rejected &&
+           base::BootClock::now() - config_confirmed_at <= kMaxConfigAge;
   }
 
   // A feed without changes confirms the configuration more often than this.
@@ -66,6 +67,8 @@
   // When the store last confirmed that `config` is the newest one. On a clock
   // that counts the time in which the machine is suspended.
   base::BootTime config_confirmed_at{};
+  // A newer configuration could not be decoded.
+  bool is_config_rejected = false;
   BackendDirectory directory;
   ConnectionPool pool;
   std::mt19937_64 random;
--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -61,7 +61,7 @@
 }
 
 void TableFollower::ReadNextPage() {
-  call_started_ = std::chrono::steady_clock::now();
+  StartCall();
   table_.Read(table_name_, "", next_page_key_, kAnswerTimeout,
               [this](storage::TableResponse answer) {
                 if (!is_stopped_)
@@ -82,8 +82,10 @@
   // The next page starts after the last key, at the smallest string above it.
   if (has_more)
     next_page_key_ = answer.rows.back().key.key + '\x01';
-  if (snapshot_version_ == 0)
+  if (snapshot_version_ == 0) {
     snapshot_version_ = answer.version;
+    snapshot_started_ = call_started_boot_;
+  }
   snapshot_bytes_ += answer.bytes;
   std::move(answer.rows.begin(), answer.rows.end(),
             std::back_inserter(snapshot_rows_));
@@ -104,6 +106,8 @@
     row_versions_[row.key.key] = row.version;
   listener_.on_snapshot(snapshot_rows_);
   snapshot_rows_.clear();
+  if (listener_.on_current)
+    listener_.on_current(snapshot_started_);
   if (const auto started = std::exchange(catch_up_started_, std::nullopt)) {
     listener_.on_catch_up(
         {true, catch_up_from_, version_, snapshot_bytes_,
@@ -116,7 +120,7 @@
 void TableFollower::Follow() {
   if (is_stopped_)
     return;
-  call_started_ = std::chrono::steady_clock::now();
+  StartCall();
   // After a failure the call does not wait for changes, so that the recovery of
   // the store is noticed early.
   const std::chrono::milliseconds wait =
@@ -142,6 +146,13 @@
     OnFailure(answer.detail);
     return;
   }
+  if (answer.malformed_rows > 0) {
+    const std::string reason =
+        std::to_string(answer.malformed_rows) + " malformed rows";
+    BeginCatchUp(reason);
+    OnFailure(reason);
+    return;
+  }
   SetReachable(true, "");
   for (const storage::VersionedRow& row : answer.rows) {
     std::uint64_t& seen_version = row_versions_[row.key.key];
@@ -153,6 +164,7 @@
     version_ = std::max(version_, row.version);
   }
   version_ = std::max(version_, answer.version);
+  ReportCurrent();
   if (answer.rows.empty())
     Follow();
   else
@@ -183,11 +195,24 @@
   if (reachable) {
     failed_calls_ = 0;
     last_answer_ = now;
-    if (listener_.on_current)
-      listener_.on_current();
   }
 }
 
+void TableFollower::StartCall() {
+  call_started_ = std::chrono::steady_clock::now();
+  call_started_boot_ = base::BootClock::now();
+}
+
+void TableFollower::ReportCurrent() {
+  if (!listener_.on_current)
+    return;
+  const base::BootTime now = base::BootClock::now();
+  listener_.on_current(now - call_started_boot_ <=
+                               kLongPollTime + kAnswerTimeout
+                           ? now
+                           : call_started_boot_);
+}
+
 void TableFollower::ReportStatus(bool has_changed, const std::string& reason) {
   const base::MonoTime now = std::chrono::steady_clock::now();
   last_report_ = now;
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "dandelionmill/base/boot_clock.h"
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/storage/async_table.h"
 
@@ -70,8 +71,8 @@
     // The changes since the last report can no longer be followed and the whole
     // partition is read, or that read or the first one has completed.
     std::function<void(const CatchUp&)> on_catch_up;
-    // Optional. All changes so far have been reported.
-    std::function<void()> on_current;
+    // Optional. All changes up to `as_of` have been reported.
+    std::function<void(base::BootTime as_of)> on_current;
   };
 
   // Follows the partition with the empty name. `loop` and `table` must outlive
@@ -99,7 +100,11 @@
   void Follow();
   void OnChanges(storage::TableResponse answer);
   void OnFailure(const std::string& reason);
+  void StartCall();
   void SetReachable(bool reachable, const std::string& reason);
+  // Reports what is known as current, as of the answer to the last call; or of
+  // the call itself if the answer took so long that it may have been waiting.
+  void ReportCurrent();
   void ReportStatus(bool has_changed, const std::string& reason);
   void ScheduleAfter(std::chrono::milliseconds delay,
                      void (TableFollower::*next)());
@@ -120,6 +125,8 @@
   int failed_calls_ = 0;
   base::MonoTime last_report_{};
   base::MonoTime call_started_{};
+  // The same time on a clock that counts suspension.
+  base::BootTime call_started_boot_{};
   base::MonoTime failed_call_started_{};
   base::MonoTime last_answer_{};
   std::vector<storage::VersionedRow> snapshot_rows_;
@@ -127,6 +134,7 @@
   // Version of the first page. Rows may change while later pages are read, so
   // the changes are followed from here.
   std::uint64_t snapshot_version_ = 0;
+  base::BootTime snapshot_started_{};
   std::string next_page_key_;
   // Set during the first full read, and while one replaces changes that could
   // not be followed.
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -96,6 +96,11 @@
       answer = Answer();
       answer.bytes = 1;
       answer.detail = "broken off";
+    } else if (refuse_next_feed_) {
+      refuse_next_feed_ = false;
+      answer = Answer();
+      answer.outcome = Outcome::kNotPerformed;
+      answer.bytes = 1;
     } else if (version < history_begin_) {
       answer.outcome = Outcome::kHistoryGone;
     } else {
@@ -105,10 +110,16 @@
           answer.bytes += row.value.size();
         }
       }
+      if (drop_rows_of_next_feed_ && !answer.rows.empty()) {
+        drop_rows_of_next_feed_ = false;
+        answer.malformed_rows = static_cast<int>(answer.rows.size());
+        answer.rows.clear();
+      }
       if (answer.bytes > max_bytes) {
         answer = Answer();
         answer.outcome = Outcome::kTooLarge;
-      } else if (answer.rows.empty() && wait.count() > 0) {
+      } else if (answer.rows.empty() && answer.malformed_rows == 0 &&
+                 wait.count() > 0) {
         // Held until there is something, as a long poll is.
         followers_.push_back({table, version, max_bytes, std::move(handler)});
         return;
@@ -174,6 +185,10 @@
   }
   // The answer to the next feed call breaks off after its first byte.
   void BreakNextFeed() { break_next_feed_ = true; }
+  // The next feed call is refused, with a body.
+  void RefuseNextFeed() { refuse_next_feed_ = true; }
+  // The rows of the next feed answer with changes cannot be decoded.
+  void DropRowsOfNextFeed() { drop_rows_of_next_feed_ = true; }
   int reads() const { return reads_; }
   void ForgetHistory() { history_begin_ = ++version_; }
   void AnswerReadsWithVersion(std::optional<std::uint64_t> version) {
@@ -286,6 +301,8 @@
   std::optional<int> failing_read_;
   std::function<void(int)> after_read_;
   bool break_next_feed_ = false;
+  bool refuse_next_feed_ = false;
+  bool drop_rows_of_next_feed_ = false;
   int generation_ = 0;
   std::chrono::milliseconds latency_{0};
   std::chrono::milliseconds service_{0};
--- a/tests/unit/gateway/table_follower_test.cc
+++ b/tests/unit/gateway/table_follower_test.cc
@@ -20,6 +20,7 @@
   bool reachable = true;
   std::vector<TableFollower::Status> statuses;
   std::vector<TableFollower::CatchUp> catch_ups;
+  std::vector<dandelionmill::base::BootTime> current_as_of;
   TableFollower follower{loop,
                          table,
                          "servers",
@@ -44,7 +45,9 @@
                           [this](const TableFollower::CatchUp& catch_up) {
                             catch_ups.push_back(catch_up);
                           },
-                          nullptr}};
+                          [this](dandelionmill::base::BootTime as_of) {
+                            current_as_of.push_back(as_of);
+                          }}};
 
   void Run(int ms = 60) {
     loop.restart();
@@ -238,3 +241,58 @@
   CHECK(fixture.snapshots == 2);
   CHECK(fixture.reachable);
 }
+
+// Guards against an answer that waited during a suspension, or took long to
+// arrive, and makes old rows count as confirmed at that moment.
+TEST_CASE("An answer that took too long confirms the time of its call only",
+          "[gateway]") {
+  using dandelionmill::base::BootClock;
+  Fixture fixture;
+  fixture.table.Put("servers", "", "a", "1");
+  fixture.follower.Start();
+  fixture.Run();
+  REQUIRE(fixture.current_as_of.size() == 1);
+  // The answer to the feed call is determined half of the latency before.
+  fixture.table.SetLatency(milliseconds(3600));
+  const auto before = BootClock::now();
+  fixture.table.Put("servers", "", "a", "2");
+  fixture.Run(2000);
+  REQUIRE(fixture.current_as_of.size() == 2);
+  CHECK(fixture.seen["a"] == "2");
+  CHECK(fixture.current_as_of[1] <= before);
+}
+
+// Guards against an overloaded store that gets a full read for every call that
+// it refuses with a body.
+TEST_CASE("A refused feed call is repeated without a full read", "[gateway]") {
+  Fixture fixture;
+  fixture.table.Put("servers", "", "a", "1");
+  fixture.follower.Start();
+  fixture.Run();
+  fixture.table.RefuseNextFeed();
+  fixture.table.FailAll(CallOutcome::kNotPerformed);
+  fixture.Run(10);
+  fixture.table.FailAll(std::nullopt);
+  fixture.Run(600);
+  CHECK(fixture.reachable);
+  CHECK(fixture.snapshots == 1);
+}
+
+// Guards against a change that is lost because its row cannot be decoded.
+TEST_CASE("A feed answer with malformed rows is replaced by a full read",
+          "[gateway]") {
+  Fixture fixture;
+  fixture.table.Put("servers", "", "a", "1");
+  fixture.follower.Start();
+  fixture.Run();
+  fixture.table.FailAll(CallOutcome::kNotPerformed);
+  fixture.Run(10);
+  fixture.table.Put("servers", "", "a", "2");
+  fixture.table.DropRowsOfNextFeed();
+  fixture.table.FailAll(std::nullopt);
+  fixture.Run(600);
+  CHECK(fixture.seen["a"] == "2");
+  CHECK(fixture.snapshots == 2);
+  REQUIRE(fixture.catch_ups.size() == 3);
+  CHECK(fixture.catch_ups[1].reason == "1 malformed rows");
+}
