Keep a refusal for prepaid tokens open while the store does not answer

It is 503 with code 302 now, 'ran: no', Retry-After 1 s. A refusal by an outdated configuration closes the connection, as on a kept one the retry came back to the same instance.

Evidence: the session test of outdated configurations checks the close. The 503 for totals has no test of its own with a current configuration.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -176,8 +176,13 @@
       StartAttempt();
       return;
     case prepaid::ReserveOutcome::kExhausted:
-      Refuse(RefuseByConfig(base::Code::kBudgetExhausted,
-                            "the prepaid tokens do not cover the request"));
+      Refuse(context_.token_pool.is_store_reachable()
+                 ? RefuseByConfig(base::Code::kBudgetExhausted,
+                                  "the prepaid tokens do not cover the request")
+                 : RefuseNotRun(base::Code::kBudgetUnknown,
+                                "the known prepaid tokens do not cover the "
+                                "request, and the store does not answer",
+                                kRetryAfterNoStore));
       return;
     case prepaid::ReserveOutcome::kUnavailable:
       Refuse(RefuseNotRun(base::Code::kBudgetUnknown,
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -117,7 +117,7 @@
   GatewayContext& context_;
   ResponseWriter* response_writer_;
   const CallerRequest request_;
-  const bool caller_keeps_connection_;
+  bool caller_keeps_connection_;
   const base::MonoTime started_at_;
   base::MonoTime deadline_{};
   boost::asio::steady_timer timer_;
--- a/src/dandelionmill/gateway/internal/exchange_end.cc
+++ b/src/dandelionmill/gateway/internal/exchange_end.cc
@@ -21,6 +21,9 @@
     CompleteRequest("failed", sent_status_, code, refusal.detail);
     return;
   }
+  // The balancer gives the retry to an instance that may know more.
+  if (refusal.code == base::Code::kConfigBehind)
+    caller_keeps_connection_ = false;
   response_writer_->Send(ToHttpResponse(
       refusal, request_metadata_.attempt,
       !caller_keeps_connection_ || context_.ShouldCloseConnections()));
--- a/src/dandelionmill/prepaid/token_pool.h
+++ b/src/dandelionmill/prepaid/token_pool.h
@@ -112,6 +112,9 @@
   // Queries.
   const Ledger& ledger() const { return ledger_; }
   bool is_in_doubt() const { return !in_doubt_.empty(); }
+  // Whether the store answered the last transaction. If not, an account that
+  // counts as exhausted may have tokens again.
+  bool is_store_reachable() const { return !last_commit_failed_; }
   bool HasLimit(const base::AccountId& account) const {
     return prepaid_.count(account) != 0;
   }
--- a/tests/sessions/gateway/config_catch_up_test.cc
+++ b/tests/sessions/gateway/config_catch_up_test.cc
@@ -98,6 +98,8 @@
         fleet.Send("/safe/", large)}) {
     CHECK(refused.status == 503);
     CHECK(refused.fields.count("Retry-After") == 1);
+    // The retry goes to another instance.
+    CHECK(refused.fields.at("Connection") == "close");
     CHECK(json::parse(refused.body).at("ran") == "no");
   }
   // What it allows is served.
