--- a/src/dandelionmill/gateway/internal/exchange_end.cc
+++ b/src/dandelionmill/gateway/internal/exchange_end.cc
@@ -22,7 +22,8 @@
     return;
   }
   // The balancer gives the retry to an instance that may know more.
-  if (refusal.code == base::Code::kConfigBehind)
+  if (refusal.code == base::Code::kConfigBehind ||
+      refusal.code == base::Code::kBudgetUnknown)
     caller_keeps_connection_ = false;
   response_writer_->Send(ToHttpResponse(
       refusal, request_metadata_.attempt,
