--- a/standins/platform/rows_server.cc
+++ b/standins/platform/rows_server.cc
@@ -109,7 +109,7 @@
 void RowsServer::Respond(httplib::Response& response, std::string body) const {
   const std::size_t rate = bytes_per_s_;
   if (rate == 0) {
-    response.set_content(std::move(body), kJson);
+    response.set_content(body, kJson);
     return;
   }
   const std::size_t size = body.size();
