Print -1 for the age of a configuration that is known to be outdated

config_age_ms printed the time since the machine's start while a newer version was known to exist. A line of the log only; refusals are as before.

--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -2,7 +2,9 @@
 #define SRC_DANDELIONMILL_GATEWAY_GATEWAY_CONTEXT_H_
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <map>
+#include <optional>
 #include <random>
 
 #include "dandelionmill/base/boot_clock.h"
@@ -48,10 +50,17 @@
     return is_shutting_down || overload.is_overloaded();
   }
 
-  // Whether the store has confirmed lately that `config` is the newest one.
+  // Returns the time since the store confirmed that `config` is the newest one;
+  // nothing while a newer one is known to exist, or before the first one.
+  std::optional<std::chrono::milliseconds> ConfigAge() const {
+    if (is_config_rejected || config_confirmed_at == base::BootTime())
+      return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        base::BootClock::now() - config_confirmed_at);
+  }
   bool IsConfigCurrent() const {
-    return !is_config_rejected &&
-           base::BootClock::now() - config_confirmed_at <= kMaxConfigAge;
+    const auto age = ConfigAge();
+    return age && *age <= kMaxConfigAge;
   }
 
   // A feed without changes confirms the configuration more often than this.
@@ -64,8 +73,9 @@
   OverloadDetector overload;
   // nullptr until the first configuration has been read.
   FleetConfigPtr config;
-  // When the store last confirmed that `config` is the newest one. On a clock
-  // that counts the time in which the machine is suspended.
+  // When the store last confirmed that `config` is the newest one; not set
+  // while a newer one is known to exist. On a clock that counts the time in
+  // which the machine is suspended.
   base::BootTime config_confirmed_at{};
   // A newer configuration could not be decoded.
   bool is_config_rejected = false;
