Read the era of the store, and log that it was restored

Change: Store-Era is decoded in platform/ into the era of a TableResponse; store_restored names the eras and versions before and after.

--- a/src/dandelionmill/platform/store_client.cc
+++ b/src/dandelionmill/platform/store_client.cc
@@ -196,6 +196,9 @@
     storage::TableResponse response = DecodeStoreResponse(
         static_cast<int>(message.result_int()), message.body());
     response.bytes = message.body().size();
+    response.era = DecodeStoreEra(std::string(message[kStoreEraField]));
+    if (response.era && *client_ != nullptr)
+      (*client_)->ObserveEra(*response.era, response.version);
     if (response.malformed_rows > 0) {
       log::Event(log::Level::kError, "store_rows_rejected")
           .With("target", std::string(request_.target()))
@@ -302,6 +305,20 @@
             std::min(max_bytes, kMaxResponseBytes), std::move(handler));
 }
 
+void StoreClient::ObserveEra(std::uint64_t era, std::uint64_t version) {
+  if (era_ && era > *era_) {
+    log::Event(log::Level::kWarning, "store_restored")
+        .With("from_era", *era_)
+        .With("era", era)
+        .With("last_version", newest_version_)
+        .With("version", version);
+    newest_version_ = 0;
+  }
+  era_ = std::max(era_.value_or(era), era);
+  if (era == *era_)
+    newest_version_ = std::max(newest_version_, version);
+}
+
 void StoreClient::StartCall(bool is_commit,
                             std::string target,
                             std::string body,
--- a/src/dandelionmill/platform/store_client.h
+++ b/src/dandelionmill/platform/store_client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,10 +54,16 @@
                  std::size_t max_bytes,
                  Handler handler);
 
+  // Logs that the store was restored from an older copy.
+  void ObserveEra(std::uint64_t era, std::uint64_t version);
+
   boost::asio::io_context& loop_;
   const net::Address store_;
   std::vector<std::unique_ptr<Connection>> idle_;
   std::uint64_t calls_ = 0;
+  // The latest era that a response named, and its newest version.
+  std::optional<std::uint64_t> era_;
+  std::uint64_t newest_version_ = 0;
   // Shared with pending calls, which check it before they access the client.
   // The destructor sets it to null.
   std::shared_ptr<StoreClient*> self_;
--- a/src/dandelionmill/platform/store_messages.cc
+++ b/src/dandelionmill/platform/store_messages.cc
@@ -1,5 +1,6 @@
 #include "dandelionmill/platform/store_messages.h"
 
+#include <charconv>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -105,6 +106,16 @@
 }  // namespace
 
 const char kCommitTarget[] = "/api/rows-tx";
+const char kStoreEraField[] = "Store-Era";
+
+std::optional<std::uint64_t> DecodeStoreEra(const std::string& value) {
+  std::uint64_t era = 0;
+  const char* const end = value.data() + value.size();
+  const auto [parsed_to, error] = std::from_chars(value.data(), end, era);
+  if (error != std::errc() || parsed_to != end)
+    return std::nullopt;
+  return era;
+}
 
 std::string EncodeChange(const storage::RowChange& change) {
   json body = {{"expectedRevision", json::array()},
--- a/src/dandelionmill/platform/store_messages.h
+++ b/src/dandelionmill/platform/store_messages.h
@@ -1,6 +1,8 @@
 #ifndef SRC_DANDELIONMILL_PLATFORM_STORE_MESSAGES_H_
 #define SRC_DANDELIONMILL_PLATFORM_STORE_MESSAGES_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "dandelionmill/storage/async_table.h"
@@ -25,6 +27,14 @@
 // Request target of a commit.
 extern const char kCommitTarget[];
 
+// Header field of each response of the store with the number of times that the
+// store was restored from an older copy.
+extern const char kStoreEraField[];
+
+// Decodes the value of kStoreEraField. Returns nullopt if it is not a decimal
+// number.
+std::optional<std::uint64_t> DecodeStoreEra(const std::string& value);
+
 // Decodes the store's response. The outcome is kUnknown when the status is
 // unexpected, or when the body of a 200 or 412 response is not a JSON object.
 // Malformed rows are omitted and counted.
--- a/src/dandelionmill/storage/async_table.h
+++ b/src/dandelionmill/storage/async_table.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,10 @@
   bool has_more = false;
   // Newest version of the store that the response reflects.
   std::uint64_t version = 0;
+  // Number of times that the store was restored from an older copy. Versions
+  // are comparable only within one era, and commits of earlier eras may be
+  // lost. Not set if the response does not name it.
+  std::optional<std::uint64_t> era;
   // Reading of the store's monotonic clock at the time of the response.
   std::chrono::milliseconds store_time{0};
   // Reason for an outcome other than kDone, for logs.
--- a/tests/unit/platform/store_messages_test.cc
+++ b/tests/unit/platform/store_messages_test.cc
@@ -66,6 +66,13 @@
   }
 }
 
+TEST_CASE("The era of the store is a decimal number", "[platform]") {
+  CHECK(platform::DecodeStoreEra("0") == 0u);
+  CHECK(platform::DecodeStoreEra("17") == 17u);
+  for (const char* malformed : {"", " 1", "1 ", "-1", "1.5", "x"})
+    CHECK_FALSE(platform::DecodeStoreEra(malformed));
+}
+
 TEST_CASE("Names in request targets are percent-encoded", "[platform]") {
   CHECK(platform::ReadTarget("t", "a b&c", "") ==
         "/api/rows-get?table=t&part=a%20b%26c");
