Add failing tests: a store restored from an older copy

Change: the stand-in store and the fake table take a copy, are restored from it, answer 410 to a read from a version that they do not have and name Store-Era; the stand-in writes again what the operator and the backend servers wrote.

--- a/standins/platform/rows_server.cc
+++ b/standins/platform/rows_server.cc
@@ -32,6 +32,7 @@
                            httplib::Response& response) {
       {
         const std::lock_guard<std::mutex> lock(mutex_);
+        response.set_header("Store-Era", std::to_string(era_));
         if (is_down_) {
           response.status = 503;
           return;
@@ -61,14 +62,14 @@
                      const std::string& key,
                      const json& value) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  ++version_;
+  ++content_.version;
   Store({table, "", key}, value.dump(), false);
   changed_.notify_all();
 }
 
 void RowsServer::Delete(const std::string& table, const std::string& key) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  ++version_;
+  ++content_.version;
   Store({table, "", key}, "", true);
   changed_.notify_all();
 }
@@ -86,8 +87,38 @@
 
 void RowsServer::DiscardHistory() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  history_start_ = ++version_;
-  history_.clear();
+  content_.history_start = ++content_.version;
+  content_.history.clear();
+  changed_.notify_all();
+}
+
+void RowsServer::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copy_ = content_;
+}
+
+void RowsServer::Restore() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  lost_ = std::exchange(content_, copy_);
+  ++era_;
+  changed_.notify_all();
+}
+
+void RowsServer::RewriteLostRows() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& [key, lost] : lost_.rows) {
+    const std::string& table = std::get<0>(key);
+    if (table != "op" && table != "servers")
+      continue;
+    const auto restored = content_.rows.find(key);
+    const bool is_restored = restored != content_.rows.end() &&
+                             restored->second.value == lost.value &&
+                             restored->second.deleted == lost.deleted;
+    if (is_restored)
+      continue;
+    ++content_.version;
+    Store(key, lost.value, lost.deleted);
+  }
   changed_.notify_all();
 }
 
@@ -95,15 +126,15 @@
                        const std::string& partition,
                        const std::string& key) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const auto found = rows_.find({table, partition, key});
-  return found == rows_.end() || found->second.deleted
+  const auto found = content_.rows.find({table, partition, key});
+  return found == content_.rows.end() || found->second.deleted
              ? json()
              : json::parse(found->second.value);
 }
 
 void RowsServer::Store(const Key& key, const std::string& value, bool deleted) {
-  rows_[key] = {value, version_, deleted};
-  history_.emplace_back(key, rows_[key]);
+  content_.rows[key] = {value, content_.version, deleted};
+  content_.history.emplace_back(key, content_.rows[key]);
 }
 
 void RowsServer::Respond(httplib::Response& response, std::string body) const {
@@ -140,7 +171,7 @@
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::steady_clock::now().time_since_epoch());
   return {{"rows", json::array()},
-          {"rowVersion", version_},
+          {"rowVersion", content_.version},
           {"nowMs", now.count()},
           {"morePages", false}};
 }
@@ -155,8 +186,8 @@
   json answer = Envelope();
   bool conflict = false;
   for (const json& item : body.at("expectedRevision")) {
-    const auto found = rows_.find(key_of(item));
-    const bool exists = found != rows_.end() && !found->second.deleted;
+    const auto found = content_.rows.find(key_of(item));
+    const bool exists = found != content_.rows.end() && !found->second.deleted;
     conflict |= item.at("rowVersion") != (exists ? found->second.version : 0);
     if (exists)
       answer["rows"].push_back(ToJson(found->first, found->second));
@@ -166,7 +197,7 @@
     response.set_content(answer.dump(), kJson);
     return;
   }
-  ++version_;
+  ++content_.version;
   for (const json& item : body.at("put"))
     Store(key_of(item), DecodeBase64(item.at("value")).value(), false);
   for (const json& item : body.at("remove"))
@@ -188,7 +219,7 @@
                         httplib::Response& response) {
   const std::lock_guard<std::mutex> lock(mutex_);
   json answer = Envelope();
-  for (const auto& [key, row] : rows_) {
+  for (const auto& [key, row] : content_.rows) {
     if (std::get<0>(key) == request.get_param_value("table") &&
         std::get<1>(key) == request.get_param_value("part") &&
         std::get<2>(key) >= request.get_param_value("from") && !row.deleted)
@@ -205,12 +236,17 @@
   const std::chrono::milliseconds wait(
       std::stoll(request.get_param_value("waitMs")));
   std::unique_lock<std::mutex> lock(mutex_);
-  const auto is_discarded = [&] { return after < history_start_; };
+  const std::uint64_t era = era_;
+  const auto is_discarded = [&] {
+    return after < content_.history_start || after > content_.version ||
+           era != era_;
+  };
   const auto is_new = [&](const std::pair<Key, Row>& change) {
     return std::get<0>(change.first) == table && change.second.version > after;
   };
   const auto has_changes = [&] {
-    return std::any_of(history_.rbegin(), history_.rend(), is_new);
+    return std::any_of(content_.history.rbegin(), content_.history.rend(),
+                       is_new);
   };
   changed_.wait_for(lock, wait, [&] {
     return is_stopping_ || is_down_ || is_discarded() || has_changes();
@@ -224,7 +260,7 @@
     return;
   }
   json answer = Envelope();
-  for (const auto& change : history_) {
+  for (const auto& change : content_.history) {
     if (is_new(change))
       answer["rows"].push_back(ToJson(change.first, change.second));
   }
--- a/standins/platform/rows_server.h
+++ b/standins/platform/rows_server.h
@@ -42,6 +42,15 @@
   // Discards the change history: feeds that resume from an earlier revision are
   // answered with status 410.
   void DiscardHistory();
+  // Takes a copy of the store, which Restore brings back: the rows, the
+  // versions and the change history.
+  void TakeCopy();
+  // Replaces the content by the last copy. Versions are given out again from
+  // there on, and each answer names the next era.
+  void Restore();
+  // Writes again the rows of `op` and `servers` that the last Restore lost, as
+  // the operator and the backend servers do.
+  void RewriteLostRows();
   // Sends the body of each answer to a read at this rate, as over a slow link;
   // 0 for no limit.
   void SetBytesPerSecond(std::size_t rate) { bytes_per_s_ = rate; }
@@ -68,14 +77,22 @@
   nlohmann::json Envelope() const;
   void Store(const Key& key, const std::string& value, bool deleted);
 
+  struct Content {
+    std::map<Key, Row> rows;
+    // Every change since `history_start`, oldest first. A row that was changed
+    // several times is listed with each of its values.
+    std::vector<std::pair<Key, Row>> history;
+    std::uint64_t version = 0;
+    std::uint64_t history_start = 0;
+  };
+
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::map<Key, Row> rows_;
-  // Every change since `history_start_`, oldest first. A row that was changed
-  // several times is listed with each of its values.
-  std::vector<std::pair<Key, Row>> history_;
-  std::uint64_t version_ = 0;
-  std::uint64_t history_start_ = 0;
+  Content content_;
+  Content copy_;
+  // The content before the last Restore.
+  Content lost_;
+  std::uint64_t era_ = 0;
   bool is_down_ = false;
   bool loses_answers_ = false;
   std::atomic<std::size_t> bytes_per_s_{0};
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -101,7 +101,7 @@
       answer = Answer();
       answer.outcome = Outcome::kNotPerformed;
       answer.bytes = 1;
-    } else if (version < history_begin_) {
+    } else if (version < history_begin_ || version > version_) {
       answer.outcome = Outcome::kHistoryGone;
     } else {
       for (const auto& [key, row] : rows_) {
@@ -190,6 +190,19 @@
   // The rows of the next feed answer with changes cannot be decoded.
   void DropRowsOfNextFeed() { drop_rows_of_next_feed_ = true; }
   int reads() const { return reads_; }
+  // Takes a copy of all rows, which Restore brings back in a new era.
+  void TakeCopy() { copy_ = {rows_, version_}; }
+  void Restore() {
+    rows_ = copy_.rows;
+    versions_before_ += version_ - copy_.version;
+    version_ = copy_.version;
+    ++era_;
+    for (auto& follower : std::exchange(followers_, {})) {
+      Answer answer = Done();
+      answer.outcome = Outcome::kHistoryGone;
+      Reply(std::move(answer), std::move(follower.handler));
+    }
+  }
   void ForgetHistory() { history_begin_ = ++version_; }
   void AnswerReadsWithVersion(std::optional<std::uint64_t> version) {
     stale_version_ = version;
@@ -214,7 +227,9 @@
     Answer answer;
     answer.outcome = Outcome::kDone;
     answer.version = version_;
-    answer.store_time = std::chrono::milliseconds(100000 + version_);
+    answer.era = era_;
+    answer.store_time =
+        std::chrono::milliseconds(100000 + versions_before_ + version_);
     return answer;
   }
 
@@ -285,10 +300,19 @@
     }
   }
 
+  using Rows = std::map<std::tuple<std::string, std::string, std::string>,
+                        dandelionmill::storage::VersionedRow>;
+  struct Copy {
+    Rows rows;
+    std::uint64_t version = 0;
+  };
+
   boost::asio::io_context& loop_;
-  std::map<std::tuple<std::string, std::string, std::string>,
-           dandelionmill::storage::VersionedRow>
-      rows_;
+  Rows rows_;
+  Copy copy_;
+  std::uint64_t era_ = 0;
+  // Versions that were given out and lost by Restore.
+  std::uint64_t versions_before_ = 0;
   std::vector<Follower> followers_;
   std::uint64_t version_ = 0;
   std::uint64_t history_begin_ = 0;
--- a/tests/unit/gateway/backend_reports_test.cc
+++ b/tests/unit/gateway/backend_reports_test.cc
@@ -128,3 +128,54 @@
   reports.OnRows(rows, now);
   CHECK_FALSE(guard.FindQuarantinedPart({"", {"aa"}}));
 }
+
+// Guards against reports that a restored store has lost: the other instances
+// send more requests that crash backend servers.
+TEST_CASE("Crash reports that a restored store has lost are written again",
+          "[gateway][!mayfail]") {
+  const base::MonoTime now = base::MonoTime(std::chrono::hours(1));
+  boost::asio::io_context loop;
+  tests::FakeTable table(loop);
+  CrashGuard guard;
+  RequestLimits limits;
+  BackendReports reports(guard, limits, table, "front-1/x");
+  table.TakeCopy();
+  guard.OnAttemptBroken(
+      {{"12-3", {"aa"}}, base::BackendId("i-1"), now, false, now});
+  guard.OnConnectionRefused(base::BackendId("i-1"), now);
+  reports.Publish(now);
+  loop.run();
+  const std::string key = "crash i-1 front-1/x 1";
+  REQUIRE_FALSE(table.Value("crashes", "", key).empty());
+  table.Restore();
+  REQUIRE(table.Value("crashes", "", key).empty());
+  reports.OnRows({}, now);
+  reports.Publish(now);
+  loop.restart();
+  loop.run();
+  CHECK_FALSE(table.Value("crashes", "", key).empty());
+}
+
+// Guards against reports in a restored store that are ignored since their
+// versions were given out before.
+TEST_CASE("A report with a version that was given out before is merged",
+          "[gateway][!mayfail]") {
+  const base::MonoTime now = base::MonoTime(std::chrono::hours(1));
+  boost::asio::io_context loop;
+  tests::FakeTable table(loop);
+  CrashGuard guard;
+  RequestLimits limits;
+  BackendReports reports(guard, limits, table, "front-1/x");
+  const auto row = [](const std::string& backend, std::uint64_t version) {
+    const CrashGuard::Report report{base::BackendId(backend), {"12-3"}, {}};
+    return dandelionmill::storage::VersionedRow{
+        {"crashes", "", "crash " + backend},
+        EncodeReportRow({"front-2/y", report}),
+        version,
+        false};
+  };
+  reports.OnRows({row("i-1", 500)}, now);
+  REQUIRE_FALSE(guard.IsQuarantined({"12-3", {}}));
+  reports.OnRows({row("i-2", 40)}, now);
+  CHECK(guard.IsQuarantined({"12-3", {}}));
+}
--- /dev/null
+++ b/tests/unit/prepaid/store_restored_test.cc
@@ -0,0 +1,126 @@
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "dandelionmill/prepaid/token_pool.h"
+#include "tests/support/fake_table.h"
+
+using dandelionmill::base::AccountId;
+using dandelionmill::base::Tokens;
+using dandelionmill::prepaid::ReserveOutcome;
+using dandelionmill::prepaid::TokenPool;
+using std::chrono::milliseconds;
+using tests::FakeTable;
+
+namespace {
+
+const AccountId kAccount("painters");
+const dandelionmill::base::AttemptId kRequest("request-1");
+constexpr Tokens kPrepaid = 100000;
+
+struct Fixture {
+  boost::asio::io_context loop;
+  FakeTable table{loop};
+
+  void Run(int ms = 20) {
+    loop.restart();
+    loop.run_for(milliseconds(ms));
+  }
+
+  std::unique_ptr<TokenPool> Start(const std::string& instance,
+                                   const std::string& process) {
+    auto pool = std::make_unique<TokenPool>(loop, table, instance, process);
+    pool->SetAccounts({{kAccount, kPrepaid}});
+    Run();
+    return pool;
+  }
+
+  void Tick(TokenPool& pool, int times = 6) {
+    for (int i = 0; i < times; ++i) {
+      pool.Tick();
+      Run();
+    }
+  }
+
+  // Reserves and uses up to `tokens`, in requests of 1,000. Returns how many.
+  Tokens Use(TokenPool& pool, Tokens tokens) {
+    constexpr Tokens kRequestTokens = 1000;
+    Tokens used = 0;
+    while (used < tokens) {
+      bool reserved = pool.TryReserve(kAccount, kRequestTokens);
+      if (!reserved) {
+        pool.ReserveLater(kRequest, kAccount, kRequestTokens, milliseconds(60),
+                          [&](ReserveOutcome outcome) {
+                            reserved = outcome == ReserveOutcome::kReserved;
+                          });
+        Run(180);
+      }
+      if (!reserved)
+        break;
+      pool.Settle(kAccount, kRequestTokens, kRequestTokens);
+      used += kRequestTokens;
+    }
+    return used;
+  }
+};
+
+}  // namespace
+
+// Guards against tokens that are drawn twice since a restored store has lost
+// that they were drawn.
+TEST_CASE("Tokens drawn before a restore are not drawn by another instance",
+          "[prepaid][!mayfail]") {
+  Fixture fixture;
+  auto first = fixture.Start("front-1", "front-1/a");
+  auto second = fixture.Start("front-2", "front-2/b");
+  Tokens used = fixture.Use(*first, 5000);
+  fixture.Tick(*first);
+  fixture.table.TakeCopy();
+  used += fixture.Use(*first, 70000);
+  REQUIRE(used == 75000);
+  fixture.table.Restore();
+  const bool is_first_writer_first = GENERATE(true, false);
+  fixture.Tick(is_first_writer_first ? *first : *second);
+  fixture.Tick(is_first_writer_first ? *second : *first);
+  used += fixture.Use(*second, kPrepaid);
+  used += fixture.Use(*first, kPrepaid);
+  CHECK(used <= kPrepaid);
+}
+
+// Guards against a successor that recovers tokens by a row older than what its
+// predecessor used.
+TEST_CASE("A successor recovers nothing by a row of a restored store",
+          "[prepaid][!mayfail]") {
+  Fixture fixture;
+  auto first = fixture.Start("front-1", "front-1/a");
+  Tokens used = fixture.Use(*first, 5000);
+  fixture.Tick(*first);
+  fixture.table.TakeCopy();
+  used += fixture.Use(*first, 75000);
+  fixture.table.DropCalls();
+  first.reset();
+  fixture.table.Restore();
+  auto successor = fixture.Start("front-1", "front-1/c");
+  fixture.Tick(*successor);
+  CHECK(successor->ledger().Held(kAccount) <= kPrepaid - used);
+}
+
+// Guards against a second recovery from the same predecessor, whose row the
+// restored store has again.
+TEST_CASE("A process recovers from its predecessor once",
+          "[prepaid][!mayfail]") {
+  Fixture fixture;
+  auto first = fixture.Start("front-1", "front-1/a");
+  Tokens used = fixture.Use(*first, 20000);
+  fixture.Tick(*first);
+  fixture.table.DropCalls();
+  first.reset();
+  fixture.table.TakeCopy();
+  auto successor = fixture.Start("front-1", "front-1/c");
+  fixture.Tick(*successor);
+  used += fixture.Use(*successor, kPrepaid);
+  fixture.table.Restore();
+  fixture.Tick(*successor);
+  used += fixture.Use(*successor, kPrepaid);
+  CHECK(used <= kPrepaid);
+}
