Follow a restored store from its first answer on

Cause: TableFollower rejects every answer below its newest version as stale. A restored store starts from an older version, so all followers of all instances rejected it until it had given out as many versions as it had lost (8 s). Class: an order that is valid within one era of a peer is applied across eras. Change: an answer of a later era drops what is known of versions and reads the table again; one of an earlier era is discarded.

--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -69,7 +69,35 @@
               });
 }
 
+bool TableFollower::CheckEra(const storage::TableResponse& answer) {
+  if (!answer.era || answer.era == era_)
+    return true;
+  if (era_ && *answer.era < *era_) {
+    OnFailure("response of era " + std::to_string(*answer.era));
+    return false;
+  }
+  const Restore restore{era_.value_or(0), *answer.era, version_, call_started_};
+  const bool was_restored = era_ || has_snapshot_;
+  era_ = answer.era;
+  if (!was_restored)
+    return true;
+  BeginCatchUp("store restored");
+  version_ = 0;
+  row_versions_.clear();
+  if (listener_.on_restored)
+    listener_.on_restored(restore);
+  if (answer.outcome == storage::CallOutcome::kDone ||
+      answer.outcome == storage::CallOutcome::kHistoryGone) {
+    ScheduleAfter(kCoalesceDelay, &TableFollower::ReadNextPage);
+  } else {
+    OnFailure(answer.detail);
+  }
+  return false;
+}
+
 void TableFollower::OnPage(storage::TableResponse answer) {
+  if (!CheckEra(answer))
+    return;
   if (answer.outcome != storage::CallOutcome::kDone) {
     OnFailure(answer.detail);
     return;
@@ -133,6 +161,8 @@
 }
 
 void TableFollower::OnChanges(storage::TableResponse answer) {
+  if (!CheckEra(answer))
+    return;
   if (answer.outcome == storage::CallOutcome::kHistoryGone ||
       answer.outcome == storage::CallOutcome::kTooLarge) {
     BeginCatchUp(storage::ToString(answer.outcome));
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -21,7 +21,8 @@
 // is read again if the store no longer has the history of changes, or if the
 // changes take more bytes than the partition, so that the time to catch up does
 // not depend on how much has changed. Stale answers are discarded and the call
-// is repeated.
+// is repeated. After the store was restored from an older copy, versions start
+// from an earlier one, so the partition is read again in the new era.
 class TableFollower {
  public:
   // Longest time between two reports of a table that stays unreachable.
@@ -59,6 +60,17 @@
     std::string reason;
   };
 
+  // The store's return from an older copy of its content.
+  struct Restore {
+    std::uint64_t from_era = 0;
+    std::uint64_t era = 0;
+    // Newest version that was read before.
+    std::uint64_t last_version = 0;
+    // Start of the call that showed it. The store was restored before its
+    // response.
+    base::MonoTime call_started{};
+  };
+
   struct Listener {
     // A row was added, changed or deleted.
     std::function<void(const storage::VersionedRow&)> on_row;
@@ -73,6 +85,9 @@
     std::function<void(const CatchUp&)> on_catch_up;
     // Optional. All changes up to `as_of` have been reported.
     std::function<void(base::BootTime as_of)> on_current;
+    // Optional. The store was restored from an older copy: changes that were
+    // reported before may be lost, and the next snapshot may be older.
+    std::function<void(const Restore&)> on_restored;
   };
 
   // Follows the partition with the empty name. `loop` and `table` must outlive
@@ -100,6 +115,9 @@
   void Follow();
   void OnChanges(storage::TableResponse answer);
   void OnFailure(const std::string& reason);
+  // Compares the era of a response with the known one. Returns false if the
+  // response cannot be used; the next call is scheduled then.
+  bool CheckEra(const storage::TableResponse& answer);
   void StartCall();
   void SetReachable(bool reachable, const std::string& reason);
   // Reports what is known as current, as of the answer to the last call; or of
@@ -140,6 +158,8 @@
   // not be followed.
   std::optional<base::MonoTime> catch_up_started_;
   std::uint64_t catch_up_from_ = 0;
+  // Era of the store to which the versions belong; not set if unknown.
+  std::optional<std::uint64_t> era_;
   // Newest version seen of each row; older versions are ignored.
   std::map<std::string, std::uint64_t> row_versions_;
 };
--- a/tests/unit/gateway/table_follower_test.cc
+++ b/tests/unit/gateway/table_follower_test.cc
@@ -296,3 +296,54 @@
   REQUIRE(fixture.catch_ups.size() == 3);
   CHECK(fixture.catch_ups[1].reason == "1 malformed rows");
 }
+
+// Guards against a follower that compares versions of a restored store with
+// those that were given out before.
+TEST_CASE("A follower reads a restored store from its first answer on",
+          "[gateway]") {
+  Fixture fixture;
+  fixture.table.Put("servers", "", "a", "1");
+  fixture.follower.Start();
+  fixture.Run();
+  fixture.table.TakeCopy();
+  for (int i = 0; i < 50; ++i)
+    fixture.table.Put("servers", "", "b", "lost");
+  fixture.Run();
+  REQUIRE(fixture.seen["b"] == "lost");
+  fixture.table.Restore();
+  fixture.Run(150);
+  CHECK(fixture.reachable);
+  CHECK(fixture.seen.count("b") == 0);
+  fixture.table.Put("servers", "", "b", "2");
+  fixture.Run();
+  CHECK(fixture.seen["b"] == "2");
+  SECTION("and once more after the next restore") {
+    fixture.table.Restore();
+    fixture.Run(150);
+    fixture.table.Put("servers", "", "c", "3");
+    fixture.Run();
+    CHECK(fixture.seen["a"] == "1");
+    CHECK(fixture.seen["c"] == "3");
+    CHECK(fixture.seen.count("b") == 0);
+  }
+}
+
+// Guards against changes that are missed when a restored store has given out as
+// many versions as it lost before the follower asks again.
+TEST_CASE("A follower notices a restore although versions have passed the old",
+          "[gateway]") {
+  Fixture fixture;
+  fixture.table.Put("servers", "", "a", "1");
+  fixture.table.TakeCopy();
+  fixture.table.Put("servers", "", "a", "2");
+  fixture.follower.Start();
+  fixture.Run();
+  fixture.table.FailAll(CallOutcome::kUnknown);
+  fixture.Run(10);
+  fixture.table.Restore();
+  for (int i = 0; i < 5; ++i)
+    fixture.table.Put("other", "", "x", "1");
+  fixture.table.FailAll(std::nullopt);
+  fixture.Run(500);
+  CHECK(fixture.seen["a"] == "1");
+}
