Keep out backend servers that left, whatever a restored registry lists

Cause: the copy lists a backend server as ready that has announced since that it leaves, or was removed. The directory took each full read for the newest state. Class: state that only moves forward is replaced by an older view of it. Change: a backend server that is draining stays so until it starts again. One that was removed is remembered for 60 s; a restored registry makes it usable only by a newer change, a new start, or after the time in which the store removes silent entries. Entries that the copy lacks are kept for the grace after an outage. Conclusion: an instance that starts after the restore cannot know who left.

--- a/src/dandelionmill/gateway/backend_directory.cc
+++ b/src/dandelionmill/gateway/backend_directory.cc
@@ -1,13 +1,47 @@
 #include "dandelionmill/gateway/backend_directory.h"
 
+#include <iterator>
 #include <set>
+#include <utility>
 
 namespace dandelionmill::gateway {
 
 void BackendDirectory::Put(const BackendEntry& entry) {
+  const BackendEntry* last = LastEntry(entry);
+  const bool is_draining =
+      entry.draining || (last != nullptr && last->draining);
   Member& member = members_[entry.id];
   member.entry = entry;
+  member.entry.draining = is_draining;
   member.expires_at.reset();
+  member.usable_at.reset();
+}
+
+const BackendEntry* BackendDirectory::LastEntry(
+    const BackendEntry& entry) const {
+  const BackendEntry* last = Find(entry.id);
+  if (last == nullptr) {
+    const auto departure = departures_.find(entry.id);
+    if (departure != departures_.end())
+      last = &departure->second.last_entry;
+  }
+  const bool is_same_start = last != nullptr && entry.incarnation != 0 &&
+                             last->incarnation == entry.incarnation;
+  return is_same_start ? last : nullptr;
+}
+
+bool BackendDirectory::IsOutdated(const BackendEntry& restored) const {
+  const BackendEntry* known = Find(restored.id);
+  if (known != nullptr)
+    return restored.incarnation < known->incarnation;
+  const BackendEntry* last = LastEntry(restored);
+  return last != nullptr && restored.change_count <= last->change_count;
+}
+
+void BackendDirectory::Erase(const base::BackendId& id, base::MonoTime now) {
+  const auto found = members_.find(id);
+  departures_[id] = {found->second.entry, now + kDepartureMemory};
+  members_.erase(found);
 }
 
 void BackendDirectory::Remove(const base::BackendId& id, base::MonoTime now) {
@@ -18,7 +52,7 @@
       earliest_outage_end_ &&
       now < *earliest_outage_end_ + kReregistrationGrace;
   if (!may_be_lost_in_outage || found->second.entry.draining) {
-    members_.erase(found);
+    Erase(id, now);
     return;
   }
   found->second.expires_at = *earliest_outage_end_ + kReregistrationGrace;
@@ -26,10 +60,16 @@
 
 void BackendDirectory::Replace(const std::vector<BackendEntry>& entries,
                                base::MonoTime now) {
+  const bool is_restored = std::exchange(is_next_read_restored_, false);
   std::set<base::BackendId> present;
   for (const BackendEntry& entry : entries) {
-    Put(entry);
     present.insert(entry.id);
+    const bool is_outdated = is_restored && IsOutdated(entry);
+    if (is_outdated && Find(entry.id) != nullptr)
+      continue;
+    Put(entry);
+    if (is_outdated)
+      members_[entry.id].usable_at = now + kProofTime;
   }
   std::vector<base::BackendId> missing;
   for (const auto& [id, member] : members_) {
@@ -45,11 +85,13 @@
   for (auto it = members_.begin(); it != members_.end();) {
     if (it->second.expires_at && *it->second.expires_at <= now) {
       expired.push_back(it->first);
-      it = members_.erase(it);
-    } else {
-      ++it;
     }
+    ++it;
   }
+  for (const base::BackendId& id : expired)
+    Erase(id, now);
+  for (auto it = departures_.begin(); it != departures_.end();)
+    it = it->second.expires_at <= now ? departures_.erase(it) : std::next(it);
   return expired;
 }
 
@@ -59,8 +101,9 @@
   std::vector<const BackendEntry*> usable;
   for (const auto& [id, member] : members_) {
     const bool has_expired = member.expires_at && *member.expires_at <= now;
+    const bool is_unproven = member.usable_at && now < *member.usable_at;
     if (member.entry.service == service && !member.entry.draining &&
-        !has_expired)
+        !has_expired && !is_unproven)
       usable.push_back(&member.entry);
   }
   return usable;
--- a/src/dandelionmill/gateway/backend_directory.h
+++ b/src/dandelionmill/gateway/backend_directory.h
@@ -1,6 +1,7 @@
 #ifndef SRC_DANDELIONMILL_GATEWAY_BACKEND_DIRECTORY_H_
 #define SRC_DANDELIONMILL_GATEWAY_BACKEND_DIRECTORY_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,13 +16,21 @@
 // While the registry is unreachable, the last known entries stay usable.
 // Entries that are missing when it is reachable again stay usable for
 // kReregistrationGrace, since a running backend server writes its entry again.
-// Pure.
+// A backend server that leaves does not become usable again by an older entry,
+// which a store that was restored from a copy may list. Pure.
 class BackendDirectory {
  public:
   // How long after a registry outage a backend server with a missing entry
   // stays usable. Running ones register again within about 2 s; one that was
   // removed must receive no requests after 2.5 s.
   static constexpr std::chrono::milliseconds kReregistrationGrace{2200};
+  // How long a backend server that left stays unusable if a restored registry
+  // lists it again. The store removes the entry within that time unless the
+  // server writes to it: three heartbeat intervals and some delay.
+  static constexpr std::chrono::milliseconds kProofTime{5000};
+  // How long it is remembered that a backend server has left; longer than the
+  // age of any copy from which the store is restored.
+  static constexpr std::chrono::seconds kDepartureMemory{60};
 
   // Commands.
   // Adds or replaces an entry.
@@ -37,7 +46,16 @@
   // The registry is reachable again. `last_unreachable_at` is the latest time
   // at which it was known to be unreachable.
   void OnOutageEnded(base::MonoTime last_unreachable_at) {
-    earliest_outage_end_ = last_unreachable_at;
+    earliest_outage_end_ =
+        std::max(earliest_outage_end_.value_or(last_unreachable_at),
+                 last_unreachable_at);
+  }
+  // The store was restored from an older copy, not before
+  // `last_unreachable_at`. Entries of the next full read may be older than what
+  // is known.
+  void OnStoreRestored(base::MonoTime last_unreachable_at) {
+    OnOutageEnded(last_unreachable_at);
+    is_next_read_restored_ = true;
   }
   // Removes entries whose grace period is over. Returns their ids.
   std::vector<base::BackendId> Expire(base::MonoTime now);
@@ -56,9 +74,24 @@
     BackendEntry entry;
     // Set while the entry is missing from the registry: when it is removed.
     std::optional<base::MonoTime> expires_at;
+    // Set while the entry may be one of a server that left: when it is usable.
+    std::optional<base::MonoTime> usable_at;
+  };
+  struct Departure {
+    BackendEntry last_entry;
+    base::MonoTime expires_at;
   };
 
+  void Erase(const base::BackendId& id, base::MonoTime now);
+  // Returns the last entry of this start of the backend server, if it is or was
+  // listed.
+  const BackendEntry* LastEntry(const BackendEntry& entry) const;
+  // Whether an entry of a restored registry is older than what is known.
+  bool IsOutdated(const BackendEntry& restored) const;
+
   std::map<base::BackendId, Member> members_;
+  std::map<base::BackendId, Departure> departures_;
+  bool is_next_read_restored_ = false;
   // Lower bound of the time at which the last outage ended; not set before the
   // first outage.
   std::optional<base::MonoTime> earliest_outage_end_;
--- a/src/dandelionmill/gateway/backend_entry.h
+++ b/src/dandelionmill/gateway/backend_entry.h
@@ -21,6 +21,8 @@
   bool draining = false;
   // Changes when the server restarts under the same id; 0 when not reported.
   std::int64_t incarnation = 0;
+  // Number of changes of the entry since the server's start.
+  std::uint64_t change_count = 0;
   // Remaining time for which it is slow after its start.
   std::chrono::milliseconds remaining_warm_up{0};
 };
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -111,7 +111,10 @@
            [this](const TableFollower::CatchUp& catch_up) {
              LogCatchUp("registry", catch_up);
            },
-           nullptr}),
+           nullptr,
+           [this](const TableFollower::Restore& restore) {
+             context_.directory.OnStoreRestored(restore.call_started);
+           }}),
       crash_follower_(
           loop,
           store_,
--- a/src/dandelionmill/platform/engine_entry.cc
+++ b/src/dandelionmill/platform/engine_entry.cc
@@ -53,6 +53,10 @@
       return MalformedField(id, "born");
     decoded.incarnation = entry["born"].get<std::int64_t>();
   }
+  // "sequence" counts what the engine has said of itself; heartbeats without
+  // another change do not show in the feed.
+  if (entry.contains("sequence") && entry["sequence"].is_number_unsigned())
+    decoded.change_count = entry["sequence"].get<std::uint64_t>();
   if (entry.contains("coldRemainingMs")) {
     if (!entry["coldRemainingMs"].is_number())
       return MalformedField(id, "coldRemainingMs");
--- a/tests/unit/gateway/backend_directory_test.cc
+++ b/tests/unit/gateway/backend_directory_test.cc
@@ -83,3 +83,60 @@
   directory.Remove(BackendId("a"), At(12300));
   CHECK(UsableAt(directory, 12300) == 0);
 }
+
+namespace {
+
+BackendEntry Started(const std::string& id,
+                     std::int64_t incarnation,
+                     std::uint64_t change_count,
+                     bool draining = false) {
+  BackendEntry entry = Entry(id, draining);
+  entry.incarnation = incarnation;
+  entry.change_count = change_count;
+  return entry;
+}
+
+}  // namespace
+
+// Guards against a restored registry that lists a backend server as ready after
+// it has announced that it leaves, or has left.
+TEST_CASE("A restored registry brings back no backend server that left",
+          "[gateway]") {
+  BackendDirectory directory;
+  directory.Put(Started("a", 7, 1));
+  directory.Put(Started("b", 7, 1));
+  directory.Put(Started("b", 7, 2, true));
+  directory.Remove(BackendId("a"), At(0));
+  directory.OnStoreRestored(At(1000));
+  directory.Replace({Started("a", 7, 1), Started("b", 7, 1)}, At(1200));
+  CHECK(UsableAt(directory, 1200) == 0);
+  SECTION("until it registers a new start") {
+    directory.Put(Started("a", 8, 1));
+    directory.Put(Started("b", 8, 1));
+    CHECK(UsableAt(directory, 1300) == 2);
+  }
+  SECTION("until a removed one writes again") {
+    directory.Put(Started("a", 7, 2));
+    CHECK(UsableAt(directory, 1300) == 1);
+  }
+  SECTION("until the store has kept it as one that writes heartbeats") {
+    CHECK(UsableAt(directory, 1200 + 4900) == 0);
+    CHECK(UsableAt(directory, 1200 + 5000) == 1);
+  }
+  SECTION("a later full read in the same era shows what is listed") {
+    directory.Replace({Started("a", 7, 2), Started("b", 7, 2, true)}, At(1500));
+    CHECK(UsableAt(directory, 1500) == 1);
+  }
+}
+
+// Guards against the loss of backend servers that registered after the copy was
+// taken and register again.
+TEST_CASE("A restored registry without an entry keeps it for a short time",
+          "[gateway]") {
+  BackendDirectory directory;
+  directory.Put(Started("a", 7, 1));
+  directory.OnStoreRestored(At(1000));
+  directory.Replace({}, At(1100));
+  CHECK(UsableAt(directory, 1100) == 1);
+  CHECK(UsableAt(directory, 1000 + 2300) == 0);
+}
