Compare the stored version of the configuration only after a restore

Cause: took every read of an older version for a store that is behind, also in one era, where a version never goes back; the case "A new desired state is in force at once and never goes back" got 503 for 404 and failed. Change: within an era the highest version counts.

--- a/src/dandelionmill/gateway/config_confirmation.h
+++ b/src/dandelionmill/gateway/config_confirmation.h
@@ -1,6 +1,7 @@
 #ifndef SRC_DANDELIONMILL_GATEWAY_CONFIG_CONFIRMATION_H_
 #define SRC_DANDELIONMILL_GATEWAY_CONFIG_CONFIRMATION_H_
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -26,8 +27,10 @@
   void OnConfirmed(base::BootTime as_of) { confirmed_at_ = as_of; }
   // The changes since the last confirmation can no longer be followed.
   void OnBehind() { confirmed_at_ = base::BootTime(); }
-  // The store has this version.
-  void OnStored(base::ConfigVersion version) { stored_version_ = version; }
+  // The store has this version. Within an era it never goes back.
+  void OnStored(base::ConfigVersion version) {
+    stored_version_ = std::max(stored_version_, version);
+  }
   // The newest configuration cannot be decoded.
   void OnRejected() { is_rejected_ = true; }
   // This configuration, newer than the last one, is in force.
