Soak: a store restored from an older copy, alone and with kills and cuts

Change: about every third seed takes a copy of the store, restores it after an outage and lets the operator and the backend servers write again up to 1.5 s later; half of the restores come with a gateway that is killed or cut off from the store. The stand-in does not write again over what was changed since. A backend server keeps its start time when it announces that it leaves; it used to change, as after a restart.

--- a/standins/platform/rows_server.cc
+++ b/standins/platform/rows_server.cc
@@ -111,10 +111,11 @@
     if (table != "op" && table != "servers")
       continue;
     const auto restored = content_.rows.find(key);
-    const bool is_restored = restored != content_.rows.end() &&
-                             restored->second.value == lost.value &&
-                             restored->second.deleted == lost.deleted;
-    if (is_restored)
+    const bool is_present = restored != content_.rows.end() &&
+                            (restored->second.version > copy_.version ||
+                             (restored->second.value == lost.value &&
+                              restored->second.deleted == lost.deleted));
+    if (is_present)
       continue;
     ++content_.version;
     Store(key, lost.value, lost.deleted);
--- a/standins/platform/rows_server.h
+++ b/standins/platform/rows_server.h
@@ -49,7 +49,8 @@
   // there on, and each answer names the next era.
   void Restore();
   // Writes again the rows of `op` and `servers` that the last Restore lost, as
-  // the operator and the backend servers do.
+  // the operator and the backend servers do, unless they have been changed
+  // since.
   void RewriteLostRows();
   // Sends the body of each answer to a read at this rate, as over a slow link;
   // 0 for no limit.
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -40,6 +40,9 @@
 constexpr milliseconds kCrashingPromptsDuration{11000};
 constexpr milliseconds kCrashingPromptInterval{150};
 constexpr milliseconds kLimitDuration{9000};
+constexpr unsigned kRestoreSeed = 0x52455354;
+constexpr milliseconds kMaxCopyAge{4000};
+constexpr milliseconds kMaxRewriteDelay{1500};
 
 LinkFault DrawLinkFault(std::mt19937& random) {
   return static_cast<LinkFault>(random() % 5);
@@ -134,6 +137,35 @@
   }
 }
 
+// Adds one to three restores of the store to about every third seed, half of
+// them with a gateway that is killed or cut off from the store meanwhile.
+void AddRestores(unsigned seed,
+                 milliseconds length,
+                 int gateways,
+                 std::vector<PlannedFault>& faults) {
+  std::mt19937 random(seed ^ kRestoreSeed);
+  if (random() % 3 != 0)
+    return;
+  const unsigned restores = 1 + random() % 3;
+  for (unsigned i = 0; i < restores; ++i) {
+    const milliseconds start(random() % length.count());
+    const milliseconds copy_age(300 + random() % kMaxCopyAge.count());
+    const milliseconds rewrite_delay(random() % kMaxRewriteDelay.count());
+    const milliseconds outage(100 + random() % 1000);
+    faults.push_back({start, outage, RestoreStore{copy_age, rewrite_delay}});
+    const int gateway = static_cast<int>(random() % gateways);
+    const milliseconds offset(random() % (copy_age + outage).count());
+    const milliseconds duration(500 + random() % kMaxFaultDuration.count());
+    const unsigned companion = random() % 4;
+    if (companion == 0) {
+      faults.push_back({start + offset, duration, KillGateway{gateway}});
+    } else if (companion == 1) {
+      faults.push_back({start + offset, duration,
+                        DegradeStoreLink{gateway, LinkFault::kPauseBoth}});
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<std::size_t> PlanStoreLinks(unsigned seed, int gateways) {
@@ -170,6 +202,7 @@
   }
   AddSeries(seed, length, gateways, faults);
   AddBackendTroubles(seed, faults);
+  AddRestores(seed, length, gateways, faults);
   std::stable_sort(faults.begin(), faults.end(),
                    [](const PlannedFault& a, const PlannedFault& b) {
                      return a.start < b.start;
@@ -351,6 +384,23 @@
   limited_periods_.push_back({id, from, until});
 }
 
+void FaultInjector::RestoreFromCopy(const PlannedFault& planned,
+                                    const RestoreStore& fault) {
+  const std::lock_guard<std::mutex> lock(copy_mutex_);
+  fleet_.store().TakeCopy();
+  std::this_thread::sleep_for(fault.copy_age);
+  const std::size_t index =
+      BeginDisturbance(Disturbance::Component::kStore,
+                       Disturbance::Category::kUnplanned, -1, "store restored");
+  fleet_.store().SetDown(true);
+  std::this_thread::sleep_for(planned.duration);
+  fleet_.store().Restore();
+  fleet_.store().SetDown(false);
+  std::this_thread::sleep_for(fault.rewrite_delay);
+  fleet_.store().RewriteLostRows();
+  EndDisturbance(index);
+}
+
 void FaultInjector::Inject(const PlannedFault& planned) {
   using Component = Disturbance::Component;
   constexpr auto kUnplanned = Disturbance::Category::kUnplanned;
@@ -416,6 +466,7 @@
             record_during(Component::kStoreData, -1, "store forgets",
                           [&] { fleet_.store().DiscardHistory(); });
           },
+          [&](const RestoreStore& fault) { RestoreFromCopy(planned, fault); },
           [&](const KillBackend&) {
             const std::string id = ChooseBackend();
             if (id.empty())
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -60,6 +60,12 @@
 struct StoreDown {};
 struct StoreDropsAnswers {};
 struct StoreDropsHistory {};
+// Restores the store from a copy that is `copy_age` old, after an outage. The
+// operator and the backend servers write again `rewrite_delay` later.
+struct RestoreStore {
+  std::chrono::milliseconds copy_age;
+  std::chrono::milliseconds rewrite_delay;
+};
 // Kills a backend server, removes its store entry after 3 s and adds a
 // replacement.
 struct KillBackend {};
@@ -94,6 +100,7 @@
                            StoreDown,
                            StoreDropsAnswers,
                            StoreDropsHistory,
+                           RestoreStore,
                            KillBackend,
                            FreezeBackend,
                            RetireBackend,
@@ -112,8 +119,8 @@
 // may overlap. Each seed selects a few kinds of fault, so that runs differ in
 // which faults are combined. Every second seed, on average, adds series of
 // configurations, each with gateways that lose the store meanwhile, and about
-// as many add prompts that crash backend servers, or request limits. A pure
-// function.
+// as many add prompts that crash backend servers, request limits, or restores
+// of the store. A pure function.
 std::vector<PlannedFault> PlanFaults(unsigned seed,
                                      std::chrono::milliseconds length,
                                      int gateways);
@@ -148,6 +155,7 @@
   void Restart(int gateway);
   void SendCrashingPrompts(const PlannedFault& planned, unsigned number);
   void NameLimit(const PlannedFault& planned);
+  void RestoreFromCopy(const PlannedFault& planned, const RestoreStore& fault);
   void StoreConfigurations(std::string what,
                            int versions,
                            std::chrono::milliseconds interval);
@@ -169,6 +177,8 @@
   std::mt19937 random_{1};
   // Held while a series of configurations is stored.
   std::mutex series_mutex_;
+  // Held from a copy of the store until it has been restored from it.
+  std::mutex copy_mutex_;
   // Held while a fault acts on the gateway's process.
   std::array<std::mutex, 16> gateway_mutexes_;
 };
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -251,13 +251,14 @@
       std::vector<std::string>{}, options_.folder + "/" + id + ".log");
   backend.link = std::make_shared<FaultProxy>(loop_, backend.port, port, true);
   backend.is_listed = true;
+  backend.born = next_backend_;
   store_.Put("servers", id,
              {{"service", "work"},
               {"address", LoopbackAddress(backend.port)},
               {"zone", "here-a"},
               {"slots", 16},
               {"state", "ready"},
-              {"born", next_backend_}});
+              {"born", backend.born}});
   return id;
 }
 
@@ -279,7 +280,7 @@
               {"zone", "here-a"},
               {"slots", 16},
               {"state", state},
-              {"born", 1}});
+              {"born", found->second.born}});
 }
 
 void Fleet::RemoveBackendEntry(const std::string& id) {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -108,6 +108,7 @@
     std::string run_log;
     int port = 0;
     bool is_listed = false;
+    int born = 0;
   };
 
   const FleetOptions options_;
