Log the software version of a backend server and what a request resumes

Change: the version of an entry and Resumes are decoded in platform/; each line of a placement decision has version, resumes and after_event, backend_changed the version.

--- a/src/dandelionmill/gateway/backend_entry.h
+++ b/src/dandelionmill/gateway/backend_entry.h
@@ -19,6 +19,8 @@
   // Requests that it serves concurrently.
   int slots = 1;
   bool draining = false;
+  // Version of its software; empty when not reported.
+  std::string software_version;
   // Changes when the server restarts under the same id; 0 when not reported.
   std::int64_t incarnation = 0;
   // Number of changes of the entry since the server's start.
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -304,6 +304,7 @@
         .With("address", net::ToString(backend.address))
         .With("draining", backend.draining)
         .With("incarnation", backend.incarnation)
+        .With("version", backend.software_version)
         .With("row_version", row.version);
     context_.pool.CloseIdle(id);
   }
--- a/src/dandelionmill/gateway/internal/exchange_end.cc
+++ b/src/dandelionmill/gateway/internal/exchange_end.cc
@@ -102,6 +102,9 @@
 log::Event& Exchange::AddPlacementFields(log::Event& event) const {
   event.With("request", request_metadata_.attempt)
       .With("backend", backend_ ? backend_->id.value() : "")
+      .With("version", backend_ ? backend_->software_version : "")
+      .With("resumes", request_metadata_.resumed_attempt)
+      .With("after_event", request_metadata_.last_event_id)
       .With("expected_ms", choice_.expected_wait)
       .With("uncached", choice_.uncached_tokens)
       .With("in_flight", choice_.in_flight)
--- a/src/dandelionmill/gateway/request_metadata.h
+++ b/src/dandelionmill/gateway/request_metadata.h
@@ -46,6 +46,9 @@
   std::optional<ModelRequest> model;
   // The event after which the caller resumes a stream; empty otherwise.
   std::string last_event_id;
+  // The caller's attempt that received the first event of the resumed stream;
+  // empty if not named.
+  base::AttemptId resumed_attempt;
 };
 
 // Metadata of a response, decoded from the backend server's header fields.
--- a/src/dandelionmill/platform/engine_entry.cc
+++ b/src/dandelionmill/platform/engine_entry.cc
@@ -53,6 +53,9 @@
       return MalformedField(id, "born");
     decoded.incarnation = entry["born"].get<std::int64_t>();
   }
+  // "version" is that of the engine's software, not of the weights.
+  if (entry.contains("version") && entry["version"].is_string())
+    decoded.software_version = entry["version"].get<std::string>();
   // "sequence" counts what the engine has said of itself; heartbeats without
   // another change do not show in the feed.
   if (entry.contains("sequence") && entry["sequence"].is_number_unsigned())
--- a/src/dandelionmill/platform/headers.cc
+++ b/src/dandelionmill/platform/headers.cc
@@ -18,6 +18,7 @@
 constexpr char kAttemptIdField[] = "Attempt-Id";
 constexpr char kDeadlineField[] = "Deadline-Milliseconds";
 constexpr char kLastEventIdField[] = "Last-Event-Id";
+constexpr char kResumedAttemptField[] = "Resumes";
 constexpr char kTenantField[] = "Tenant";
 constexpr char kExpectedInstanceField[] = "Expected-Instance";
 constexpr char kPriorityField[] = "Request-Priority";
@@ -183,6 +184,8 @@
   metadata.attempt = base::AttemptId(FieldValue(message, kAttemptIdField));
   metadata.host = FieldValue(message, "Host");
   metadata.last_event_id = FieldValue(message, kLastEventIdField);
+  metadata.resumed_attempt =
+      base::AttemptId(FieldValue(message, kResumedAttemptField));
   const std::string authorization = FieldValue(message, "Authorization");
   if (boost::algorithm::istarts_with(authorization, kBearerScheme))
     metadata.api_key = authorization.substr(sizeof(kBearerScheme) - 1);
