--- a/tests/sessions/gateway/gateway_fixture.cc
+++ b/tests/sessions/gateway/gateway_fixture.cc
@@ -78,13 +78,15 @@
 }
 
 ScriptedEngine& GatewayFixture::AddEngine(const std::string& id,
-                                          ScriptedEngine::Script script) {
+                                          ScriptedEngine::Script script,
+                                          const std::string& version) {
   const int port = next_port_++;
   engines[id] = std::make_unique<ScriptedEngine>(port, std::move(script));
   store.Put("servers", id,
             {{"service", "model"},
              {"address", "127.0.0.1:" + std::to_string(port)},
              {"zone", "north"},
+             {"version", version},
              {"slots", 8},
              {"state", "ready"},
              {"born", 1}});
--- a/tests/sessions/gateway/gateway_fixture.h
+++ b/tests/sessions/gateway/gateway_fixture.h
@@ -89,7 +89,9 @@
   void Shutdown();
   bool IsReady();
   // Registers an engine that answers as the script says.
-  ScriptedEngine& AddEngine(const std::string& id, ScriptedEngine::Script s);
+  ScriptedEngine& AddEngine(const std::string& id,
+                            ScriptedEngine::Script s,
+                            const std::string& version = "v1");
   void WaitUntil(const std::function<bool()>& holds);
   Received Send(const std::string& target,
                 std::map<std::string, std::string> fields = {},
--- /dev/null
+++ b/tests/sessions/gateway/stream_version_test.cc
@@ -0,0 +1,159 @@
+#include <string>
+
+#include "tests/sessions/gateway/gateway_fixture.h"
+
+using namespace gateway_test;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr int kLastEvent = 9;
+
+const std::map<std::string, std::string> kTokens = {{"Model", "m"},
+                                                    {"Token-Count", "900,100"},
+                                                    {"Prompt-Prefix", "a:900"}};
+
+// An engine of one software version, which the text of its events names.
+class VersionedEngine {
+ public:
+  explicit VersionedEngine(std::string version)
+      : version_(std::move(version)) {}
+
+  // Breaks off each stream that begins after this many events; 0 for never.
+  std::atomic<int> breaks_after{0};
+
+  Answer operator()(const Request& request) {
+    const std::string last_event(request["Last-Event-Id"]);
+    const int first = last_event.empty() ? 1 : std::stoi(last_event) + 1;
+    const bool is_broken = last_event.empty() && breaks_after > 0;
+    Answer answer;
+    answer.steps.push_back({ScriptedEngine::StreamHead(request)});
+    for (int id = first; id <= (is_broken ? breaks_after.load() : kLastEvent);
+         ++id)
+      answer.steps.push_back({Chunk(id)});
+    if (is_broken)
+      answer.then = Answer::Then::kReset;
+    else
+      answer.steps.push_back({ScriptedEngine::StreamEnd()});
+    return answer;
+  }
+
+ private:
+  std::string Chunk(int id) const {
+    const std::string event =
+        "id: " + std::to_string(id) + "\ndata: " + version_ + "\n\n";
+    std::ostringstream chunk;
+    chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+    return chunk.str();
+  }
+
+  const std::string version_;
+};
+
+bool HasVersion(const Received& received, const std::string& version) {
+  return received.body.find("data: " + version + "\n") != std::string::npos;
+}
+
+// Sends a request that resumes the stream of `attempt` after event 3.
+Received Resume(GatewayFixture& fleet, const std::string& attempt) {
+  auto fields = kTokens;
+  fields["Last-Event-Id"] = "3";
+  fields["Resumes"] = attempt;
+  return fleet.Send("/stream/", fields);
+}
+
+Received Begin(GatewayFixture& fleet, const std::string& attempt) {
+  auto fields = kTokens;
+  fields["Attempt-Id"] = attempt;
+  return fleet.Send("/stream/", fields);
+}
+
+// Time until the other instances can know what began a stream.
+constexpr milliseconds kSharingTime{700};
+
+}  // namespace
+
+// Guards against an answer that is joined from the events of two versions.
+TEST_CASE("A broken stream goes on at the version that began it",
+          "[gateway][!mayfail]") {
+  GatewayFixture fleet;
+  VersionedEngine old_engine("v1");
+  VersionedEngine new_engine("v2");
+  old_engine.breaks_after = 3;
+  new_engine.breaks_after = 3;
+  fleet.AddEngine("i-1", std::ref(old_engine), "v1");
+  fleet.AddEngine("i-2", std::ref(new_engine), "v2");
+  const bool has_second = GENERATE(true, false);
+  if (has_second) {
+    fleet.AddEngine("i-3", std::ref(old_engine), "v1");
+    fleet.AddEngine("i-4", std::ref(new_engine), "v2");
+  }
+  for (int i = 0; i < 6; ++i) {
+    const Received received = fleet.Send("/stream/", kTokens);
+    CHECK_FALSE((HasVersion(received, "v1") && HasVersion(received, "v2")));
+    CHECK(received.is_cut == !has_second);
+  }
+}
+
+// Guards against a stream that a caller takes up at another version than the
+// one that began it.
+TEST_CASE("A caller's resume goes to the version that began the stream",
+          "[gateway][!mayfail]") {
+  GatewayFixture fleet;
+  VersionedEngine old_engine("v1");
+  VersionedEngine new_engine("v2");
+  fleet.AddEngine("i-1", std::ref(old_engine), "v1");
+  REQUIRE(HasVersion(Begin(fleet, "begun-1"), "v1"));
+  for (int i = 2; i <= 4; ++i)
+    fleet.AddEngine("i-" + std::to_string(i), std::ref(new_engine), "v2");
+  SECTION("at the instance that began it") {}
+  SECTION("at an instance that did not, or was restarted") {
+    std::this_thread::sleep_for(kSharingTime);
+    fleet.Stop();
+    fleet.Start();
+  }
+  for (int i = 0; i < 8; ++i) {
+    const Received received = Resume(fleet, "begun-1");
+    CHECK(received.status == 200);
+    CHECK_FALSE(HasVersion(received, "v2"));
+  }
+}
+
+// Guards against streams of a version that has just left, which restarted
+// instances let go on at the new one.
+TEST_CASE("A stream whose version has left is not resumed at another",
+          "[gateway][!mayfail]") {
+  GatewayFixture fleet;
+  VersionedEngine old_engine("v1");
+  VersionedEngine new_engine("v2");
+  fleet.AddEngine("i-1", std::ref(old_engine), "v1");
+  REQUIRE(HasVersion(Begin(fleet, "begun-1"), "v1"));
+  fleet.AddEngine("i-2", std::ref(new_engine), "v2");
+  std::this_thread::sleep_for(kSharingTime);
+  fleet.store.Delete("servers", "i-1");
+  const bool is_restarted = GENERATE(true, false);
+  if (is_restarted) {
+    fleet.Stop();
+    fleet.Start();
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  const std::string resumed = GENERATE("begun-1", "unknown", "");
+  const Received received = Resume(fleet, resumed);
+  CHECK(received.status == 503);
+  CHECK(json::parse(received.body).at("ran") == "no");
+  CHECK(Begin(fleet, "begun-2").status == 200);
+}
+
+// Guards against the loss of streams that nothing prevents from going on.
+TEST_CASE("Streams go on while there is one version only", "[gateway]") {
+  GatewayFixture fleet;
+  VersionedEngine engine("v1");
+  fleet.AddEngine("i-1", std::ref(engine), "v1");
+  REQUIRE(Begin(fleet, "begun-1").status == 200);
+  SECTION("at the instance that began them") {}
+  SECTION("at a restarted instance") {
+    fleet.Stop();
+    fleet.Start();
+  }
+  CHECK(Resume(fleet, "begun-1").status == 200);
+  CHECK(Resume(fleet, "not-recorded").status == 200);
+}
