Soak: backend servers of two versions, and callers that resume streams

Change: backend servers have one of two software versions, which their events name. A caller resumes a stream that broke off, at any gateway, with Resumes; all events of an answer, and of its resume, must be of one version.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -70,27 +70,42 @@
                                        : "," + request.crashing_part + ":1") +
         "," + request.id + ":1";
   }
+  if (!request.resumes.empty()) {
+    text += "\r\nResumes: " + request.resumes +
+            "\r\nLast-Event-Id: " + std::to_string(request.after_event);
+  }
   return text + "\r\n\r\n" + body;
 }
 
-// Returns the number of complete events in a stream's body, or -1 if the body
-// is not a prefix of the expected event sequence.
-std::int64_t CountEvents(const std::string& body) {
+// Returns the software version that a stream's first event names.
+std::string VersionOfFirstEvent(const std::string& body) {
+  constexpr char kData[] = "\ndata: ";
+  const std::size_t data = body.find(kData);
+  const std::size_t end = body.find("\n\n");
+  const std::size_t begin = data + sizeof(kData) - 1;
+  return data == std::string::npos || end == std::string::npos || end < begin
+             ? ""
+             : body.substr(begin, end - begin);
+}
+
+// Returns the number of complete events in a stream's body after event
+// `after`, or -1 if the body is not a prefix of the expected events, all of one
+// software version.
+std::int64_t CountEvents(const std::string& body, std::int64_t after) {
+  const std::string version = VersionOfFirstEvent(body);
+  if (version.empty())
+    return 0;
   std::int64_t events = 0;
   std::size_t at = 0;
-  for (;;) {
-    const std::string next = std::to_string(events + 1);
-    const std::string expected = "id: " + next + "\ndata: e" + next + "\n\n";
-    if (body.compare(at, expected.size(), expected) != 0)
-      break;
-    at += expected.size();
-    ++events;
-  }
+  const auto next_event = [&] {
+    return "id: " + std::to_string(after + events + 1) + "\ndata: " + version +
+           "\n\n";
+  };
+  for (; body.compare(at, next_event().size(), next_event()) == 0; ++events)
+    at += next_event().size();
   // The remainder must be a prefix of the next event.
   const std::string rest = body.substr(at);
-  const std::string next = std::to_string(events + 1);
-  const std::string expected = "id: " + next + "\ndata: e" + next + "\n\n";
-  return expected.compare(0, rest.size(), rest) == 0 ? events : -1;
+  return next_event().compare(0, rest.size(), rest) == 0 ? events : -1;
 }
 
 // Waits until the socket is ready for `events`. Returns false on timeout or
@@ -163,8 +178,10 @@
   outcome.is_complete = parser.is_done() && !error;
   outcome.has_signature = answer.count("Server-Signature") > 0;
   if (outcome.status == 200 && IsStream(request.kind)) {
-    outcome.events = CountEvents(answer.body());
-    outcome.has_expected_body = outcome.events == kEventsPerStream;
+    outcome.events = CountEvents(answer.body(), request.after_event);
+    outcome.version = VersionOfFirstEvent(answer.body());
+    outcome.has_expected_body =
+        outcome.events + request.after_event == kEventsPerStream;
     // Out-of-order events are a violation even in a truncated response, so it
     // is marked complete to have its content checked.
     if (outcome.events < 0) {
@@ -221,6 +238,29 @@
   return usable[random() % usable.size()];
 }
 
+namespace {
+
+// Resumes a stream that ended early, at `gateway`.
+void ResumeStream(Fleet& fleet,
+                  int gateway,
+                  const Exchange& begun,
+                  ExchangeLog& log) {
+  Request request = begun.request;
+  request.id += "-again";
+  request.resumes = begun.request.id;
+  request.after_event = begun.outcome.events;
+  request.stream_version = begun.outcome.version;
+  request.gateway = gateway;
+  request.boot = fleet.boot(gateway);
+  CallerConnection connection(fleet.caller_port(gateway));
+  request.sent = steady_clock::now();
+  log.Add({request, connection.Exchange(request, KeyOf(request.account, 0), "",
+                                        request.sent + request.time_limit +
+                                            kLateAnswerWindow)});
+}
+
+}  // namespace
+
 void RunCaller(Fleet& fleet,
                Balancer& balancer,
                unsigned seed,
@@ -254,6 +294,9 @@
         request, KeyOf(request.account, 0), body,
         request.sent + request.time_limit + kLateAnswerWindow);
     log.Add({request, outcome});
+    if (request.kind == Kind::kResumableStream && !outcome.is_complete &&
+        outcome.events > 0)
+      ResumeStream(fleet, balancer.Choose(random), {request, outcome}, log);
     std::this_thread::sleep_for(milliseconds(
         outcome.status == 200 ? random() % kMaxPauseMs : 2 * kMaxPauseMs));
   }
--- a/tests/soak/engine_main.cc
+++ b/tests/soak/engine_main.cc
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <mutex>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -149,14 +150,23 @@
     return answer;
   }
 
-  static Answer Stream(const Request& request) {
+  // Returns event `number` as one chunk; its text names the software version.
+  std::string EventChunk(int number) const {
+    const std::string event = "id: " + std::to_string(number) +
+                              "\ndata: " + soak::SoftwareVersionOf(id_) +
+                              "\n\n";
+    std::ostringstream chunk;
+    chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+    return chunk.str();
+  }
+
+  Answer Stream(const Request& request) const {
     Answer answer{{{ScriptedEngine::StreamHead(request), kEventInterval}}};
     const std::string last_event_id(request["Last-Event-Id"]);
     for (int event =
              last_event_id.empty() ? 1 : std::atoi(last_event_id.c_str()) + 1;
          event <= kEventsPerStream; ++event)
-      answer.steps.push_back(
-          {ScriptedEngine::EventChunk(event), kEventInterval});
+      answer.steps.push_back({EventChunk(event), kEventInterval});
     answer.steps.push_back({ScriptedEngine::StreamEnd()});
     return answer;
   }
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -258,6 +258,7 @@
               {"zone", "here-a"},
               {"slots", 16},
               {"state", "ready"},
+              {"version", SoftwareVersionOf(id)},
               {"born", backend.born}});
   return id;
 }
@@ -280,6 +281,7 @@
               {"zone", "here-a"},
               {"slots", 16},
               {"state", state},
+              {"version", SoftwareVersionOf(id)},
               {"born", found->second.born}});
 }
 
--- a/tests/soak/invariants.cc
+++ b/tests/soak/invariants.cc
@@ -123,6 +123,10 @@
       Add("whole answers", "no Server-Signature: " + Describe(exchange));
     if (is_success && outcome.is_complete && !outcome.has_expected_body)
       Add("whole answers", "unexpected body: " + Describe(exchange));
+    const std::string& begun_at = exchange.request.stream_version;
+    if (!begun_at.empty() && outcome.events > 0 && outcome.version != begun_at)
+      Add("one version", "begun at " + begun_at + ", resumed at " +
+                             outcome.version + ": " + Describe(exchange));
     // CheckConfigVersions covers refusals that depend on the version in force.
     const bool depends_on_version =
         exchange.request.key_version != 0 ||
--- a/tests/soak/records.h
+++ b/tests/soak/records.h
@@ -22,6 +22,12 @@
 // Requests per second that a limited backend server accepts.
 inline constexpr double kRequestLimit = 4;
 
+// Returns the software version of a backend server: servers of two versions
+// serve side by side.
+inline std::string SoftwareVersionOf(const std::string& backend) {
+  return (backend.empty() || backend.back() % 2 == 0) ? "v1" : "v2";
+}
+
 inline bool IsRetryable(Kind kind) {
   return kind == Kind::kIdempotent || kind == Kind::kResumableStream;
 }
@@ -46,6 +52,11 @@
   std::uint64_t route_until = 0;
   // A shared prompt part that crashes backend servers; empty for none.
   std::string crashing_part;
+  // The request whose stream this one resumes after `after_event`, and the
+  // software version of that stream's events; empty for none.
+  std::string resumes;
+  std::int64_t after_event = 0;
+  std::string stream_version;
 };
 
 // The response that a caller received.
@@ -59,6 +70,8 @@
   // request.
   bool has_expected_body = false;
   std::int64_t events = 0;
+  // Software version of the first event; empty for none.
+  std::string version;
 };
 
 struct Exchange {
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -153,7 +153,13 @@
                const std::vector<std::size_t>& store_links) {
   json statuses = json::object();
   int incomplete = 0;
+  int resumed = 0;
+  int resumed_whole = 0;
   for (const Exchange& exchange : records.exchanges) {
+    if (!exchange.request.resumes.empty()) {
+      ++resumed;
+      resumed_whole += exchange.outcome.has_expected_body ? 1 : 0;
+    }
     const std::string status = std::to_string(exchange.outcome.status);
     statuses[status] = statuses.value(status, 0) + 1;
     incomplete += exchange.outcome.is_complete ? 0 : 1;
@@ -163,6 +169,8 @@
     disturbances[disturbance.what] =
         disturbances.value(disturbance.what, 0) + 1;
   return {{"requests", records.exchanges.size()},
+          {"resumed", resumed},
+          {"resumed_whole", resumed_whole},
           {"runs", records.runs.size()},
           {"statuses", statuses},
           {"not_complete", incomplete},
