Keep the pause that a backend server asks for with a 503

Cause: Retry-After of a backend server's 503 was not read; the server was left out for 60 ms only. A request chosen for a server that asked for a pause while its connection opened is placed again. While all servers of a service pause, callers are refused at once with the time until the first of them returns. The stand-in plays the pause, the leaving server and the request limit.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -286,9 +286,10 @@
                                 }),
                  usable.end());
   }
-  if (!context_.request_limits.empty()) {
+  if (!context_.request_limits.empty() || !context_.backoff.empty()) {
     for (const BackendEntry* backend : usable) {
-      if (!context_.request_limits.Admits(*backend, now))
+      if (!context_.request_limits.Admits(*backend, now) ||
+          !context_.backoff.Admits(*backend, now))
         request.excluded.insert(backend->id);
     }
   }
@@ -304,6 +305,8 @@
   context_.placement.OnSent(*backend_, request.model, choice_.uncached_tokens,
                             now);
   context_.request_limits.OnSent(backend_->id, now);
+  context_.backoff.OnSent(backend_->id, now);
+  chosen_at_ = now;
   is_attempt_open_ = true;
   is_prompt_pending_ = true;
   response_status_ = 0;
@@ -316,6 +319,25 @@
   Connect();
 }
 
+std::optional<milliseconds> Exchange::TimeUntilAdmitted(
+    const std::vector<const BackendEntry*>& usable,
+    base::MonoTime now) const {
+  std::optional<milliseconds> soonest;
+  for (const BackendEntry* backend : usable) {
+    const auto until_limit =
+        context_.request_limits.TimeUntilAdmitted(*backend, now);
+    if (!until_limit)
+      continue;
+    const milliseconds wait =
+        std::max(std::min(*until_limit, kMaxRetryAfterLimit),
+                 context_.backoff.TimeUntilAdmitted(*backend, now));
+    if (wait.count() == 0 && tried_backends_.count(backend->id) != 0)
+      continue;
+    soonest = std::min(soonest.value_or(wait), wait);
+  }
+  return soonest;
+}
+
 Refusal Exchange::RefuseForWantOfBackend(
     const std::vector<const BackendEntry*>& usable) const {
   if (may_have_run_) {
@@ -328,24 +350,15 @@
                             ", which began the stream, can be used",
                         std::nullopt);
   }
-  const base::MonoTime now = steady_clock::now();
-  std::optional<milliseconds> until_admitted;
-  for (const BackendEntry* backend : usable) {
-    const auto wait = context_.request_limits.TimeUntilAdmitted(*backend, now);
-    // Others are excluded for another reason.
-    if (!wait || wait->count() == 0)
-      continue;
-    until_admitted = std::min(until_admitted.value_or(*wait), *wait);
-  }
-  if (!until_admitted) {
+  const auto until_admitted = TimeUntilAdmitted(usable, steady_clock::now());
+  if (!until_admitted || until_admitted->count() == 0) {
     return RefuseNotRun(base::Code::kNoBackend, "no backend server can be used",
                         kRetryAfterNoBackend);
   }
   // Another instance may have a share of the limit before.
-  return RefuseNotRun(
-      base::Code::kOverloaded,
-      "the backend servers accept no more requests now",
-      std::clamp(*until_admitted, kRetryAfterOverload, kMaxRetryAfterLimit));
+  return RefuseNotRun(base::Code::kOverloaded,
+                      "the backend servers accept no more requests now",
+                      std::max(*until_admitted, kRetryAfterOverload));
 }
 
 void Exchange::Connect() {
@@ -367,6 +380,13 @@
   if (is_finished_)
     return;
   if (auto* connection = std::get_if<BackendConnectionPtr>(&result)) {
+    const base::MonoTime now = steady_clock::now();
+    if (IsChoiceOutdated(now)) {
+      context_.pool.PutIdle(*backend_, std::move(*connection), now);
+      EndAttempt(AttemptEnd::kAbandoned);
+      StartAttempt();
+      return;
+    }
     SendRequest(std::move(*connection));
     return;
   }
@@ -415,6 +435,10 @@
   return head + "\r\n";
 }
 
+bool Exchange::IsChoiceOutdated(base::MonoTime now) const {
+  return context_.backoff.IsPaused(*backend_, now);
+}
+
 void Exchange::SendRequest(BackendConnectionPtr connection) {
   context_.metrics.OnAttempt(attempt_count_ == 0 ? "first" : "again");
   ++attempt_count_;
@@ -447,6 +471,7 @@
   if (std::exchange(is_prompt_pending_, false))
     context_.placement.OnPromptDropped(backend_->id, choice_.uncached_tokens);
   context_.placement.OnEnded(backend_->id, end, steady_clock::now());
+  context_.backoff.OnEnded(backend_->id, chosen_at_);
   if (call_) {
     call_->Abandon();
     call_.reset();
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -88,6 +88,9 @@
   void Connect();
   void OnConnected(ConnectionPool::Result result);
   void SendRequest(BackendConnectionPtr connection);
+  // Whether the chosen backend server has said, since it was chosen, that it
+  // wants no requests for some time.
+  bool IsChoiceOutdated(base::MonoTime now) const;
   // Returns whether the request may be sent to another backend server. If so,
   // takes one extra attempt from the allowance; otherwise sets
   // no_retry_reason_.
@@ -99,6 +102,11 @@
   void EndAttempt(AttemptEnd end);
   // Starts another attempt if the request may run again; refuses it otherwise.
   void RetryOrRefuse(const Refusal& refusal);
+  // Returns the time until one of `usable` admits a request again; 0 if one
+  // does now, nothing if none will or all are excluded for another reason.
+  std::optional<std::chrono::milliseconds> TimeUntilAdmitted(
+      const std::vector<const BackendEntry*>& usable,
+      base::MonoTime now) const;
   // Returns the refusal of a request for which `usable` has no backend server.
   Refusal RefuseForWantOfBackend(
       const std::vector<const BackendEntry*>& usable) const;
@@ -108,6 +116,9 @@
   void ConfirmEnd();
   // Relays what is left of a complete response.
   void FinishResponse();
+  // Takes note of what a response says about its backend server: load, limits
+  // and a pause.
+  void ObserveBackend(const ResponseMetadata& metadata, base::MonoTime now);
   void OnRejected();
   void OnFailureStatus();
   void RelayBufferedResponse();
@@ -156,6 +167,7 @@
   PlacementChoice choice_;
   std::shared_ptr<BackendCall> call_;
   bool is_attempt_open_ = false;
+  base::MonoTime chosen_at_{};
   bool is_prompt_pending_ = false;
   base::MonoTime sent_at_{};
   int response_status_ = 0;
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -410,6 +410,7 @@
     context_.pool.CloseIdle(id);
     context_.placement.Remove(id);
     context_.request_limits.Remove(id);
+    context_.backoff.Remove(id);
   }
   context_.crash_guard.Expire(now);
   PublishBackendReports(now);
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <random>
 
+#include "dandelionmill/gateway/backend_backoff.h"
 #include "dandelionmill/gateway/backend_directory.h"
 #include "dandelionmill/gateway/config_confirmation.h"
 #include "dandelionmill/gateway/connection_pool.h"
@@ -41,6 +42,7 @@
         pool(event_loop),
         random(std::random_device{}()),
         placement(random(), policy),
+        backoff(random()),
         stream_records(stream_versions, table) {}
 
   // Returns the retry allowance of a service; creates it on first use.
@@ -67,6 +69,7 @@
   ConnectionPool pool;
   std::mt19937_64 random;
   Placement placement;
+  BackendBackoff backoff;
   CrashGuard crash_guard;
   RequestLimits request_limits;
   StreamVersions stream_versions;
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -72,6 +72,18 @@
   response_status_ = status;
   response_metadata_ = metadata;
   response_fields_ = fields;
+  ObserveBackend(metadata, now);
+  is_event_stream_ =
+      status == 200 && IsStream(route_->kind) &&
+      boost::algorithm::istarts_with(fields[http::field::content_type],
+                                     "text/event-stream");
+  const bool is_success = status >= 200 && status < 300;
+  if (is_success && !metadata.has_signature)
+    OnBroken("successful response without a signature");
+}
+
+void Exchange::ObserveBackend(const ResponseMetadata& metadata,
+                              base::MonoTime now) {
   context_.placement.OnBytesReceived(backend_->id, now);
   if (metadata.load)
     context_.placement.OnLoad(backend_->id, *metadata.load, now);
@@ -82,13 +94,19 @@
     AddPlacementFields(event).With("requests_per_s",
                                    metadata.requests_per_s.value_or(0));
   }
-  is_event_stream_ =
-      status == 200 && IsStream(route_->kind) &&
-      boost::algorithm::istarts_with(fields[http::field::content_type],
-                                     "text/event-stream");
-  const bool is_success = status >= 200 && status < 300;
-  if (is_success && !metadata.has_signature)
-    OnBroken("successful response without a signature");
+  if (metadata.pause) {
+    context_.backoff.OnPauseRequested(backend_->id, backend_->incarnation,
+                                      *metadata.pause, now);
+    log::Event event(log::Level::kInfo, "backend_paused");
+    AddPlacementFields(event).With("pause_ms", *metadata.pause);
+  } else if (context_.backoff.OnAnswered(backend_->id, chosen_at_)) {
+    log::Event event(log::Level::kInfo, "backend_pause_ended");
+    AddPlacementFields(event);
+  }
+  if (!metadata.malformed_pause.empty()) {
+    log::Event event(log::Level::kWarning, "backend_pause_malformed");
+    AddPlacementFields(event).With("retry_after", metadata.malformed_pause);
+  }
 }
 
 void Exchange::OnBody(std::string_view bytes) {
@@ -294,12 +312,22 @@
     StartAttempt();
     return;
   }
-  Refuse(
-      response_metadata_.is_other_backend
-          ? RefuseNotRun(base::Code::kNoBackend,
-                         "the backend server has been replaced", kRetryAtOnce)
-          : RefuseNotRun(base::Code::kOverloaded,
-                         "the backend servers are full", kRetryAfterOverload));
+  if (response_metadata_.is_other_backend) {
+    Refuse(RefuseNotRun(base::Code::kNoBackend,
+                        "the backend server has been replaced", kRetryAtOnce));
+    return;
+  }
+  const base::MonoTime now = steady_clock::now();
+  const auto until_admitted =
+      TimeUntilAdmitted(context_.directory.Usable(service_->id, now), now);
+  // Another backend server may have room now if only this one wants a pause.
+  const bool is_other_free = response_metadata_.pause && until_admitted &&
+                             until_admitted->count() == 0;
+  Refuse(RefuseNotRun(
+      base::Code::kOverloaded, "the backend servers are full",
+      is_other_free ? kRetryAtOnce
+                    : std::max(until_admitted.value_or(kRetryAfterOverload),
+                               kRetryAfterOverload)));
 }
 
 void Exchange::OnFailureStatus() {
--- a/src/dandelionmill/gateway/request_metadata.h
+++ b/src/dandelionmill/gateway/request_metadata.h
@@ -70,6 +70,13 @@
   // Requests per second that the backend server accepts from the whole fleet
   // while it names a limit; not set otherwise.
   std::optional<double> requests_per_s;
+  // The backend server leaves and takes no new requests.
+  bool is_leaving = false;
+  // How long the backend server, which has turned the request away, wants no
+  // further requests from this instance; not set if it does not ask for that.
+  std::optional<std::chrono::milliseconds> pause;
+  // The value of a pause that cannot be read, for logs; empty otherwise.
+  std::string malformed_pause;
   // How long the connection may stay idle; not set if not reported.
   std::optional<std::chrono::milliseconds> idle_timeout;
 };
--- a/src/dandelionmill/platform/headers.cc
+++ b/src/dandelionmill/platform/headers.cc
@@ -27,10 +27,15 @@
 // Misdirected Request (RFC 9110): the backend server that received the request
 // is not the one named in Expected-Instance, and did not run it.
 constexpr int kMisdirectedRequest = 421;
+constexpr int kServiceUnavailable = 503;
 
 // Longer deadlines are shortened to this value.
 constexpr std::chrono::milliseconds kMaxDeadline{3600000};
 
+// Longer pauses that a backend server asks for are shortened to this value, so
+// that a wrong one does not take the server out of use for good.
+constexpr std::chrono::seconds kMaxPause{60};
+
 // Hop-by-hop fields (RFC 9110, section 7.6.1) and the fields that frame the
 // body.
 constexpr const char* kHopByHopFields[] = {"Connection",
@@ -162,6 +167,17 @@
   return limit;
 }
 
+// Parses decimal seconds. Rounds up, so that the pause is kept to its end.
+std::optional<std::chrono::milliseconds> ParsePause(const std::string& text) {
+  double seconds = 0;
+  if (!ParseNumber(std::string_view(text), seconds) ||
+      !std::isfinite(seconds) || seconds < 0)
+    return std::nullopt;
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::min(std::chrono::duration<double>(seconds),
+               std::chrono::duration<double>(kMaxPause)));
+}
+
 std::optional<std::chrono::milliseconds> ParseKeepAlive(
     const std::string& text) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -252,6 +268,13 @@
   metadata.load = ParseLoad(FieldValue(message, "Server-Load"));
   metadata.requests_per_s =
       ParseRequestLimit(FieldValue(message, "Server-Limit"));
+  metadata.is_leaving = FieldValue(message, "Server-Leaving") == "1";
+  const std::string retry_after = FieldValue(message, "Retry-After");
+  if (status == kServiceUnavailable && !retry_after.empty()) {
+    metadata.pause = ParsePause(retry_after);
+    if (!metadata.pause)
+      metadata.malformed_pause = retry_after;
+  }
   metadata.idle_timeout = ParseKeepAlive(FieldValue(message, "Keep-Alive"));
   return metadata;
 }
--- a/standins/backend/scripted_engine.cc
+++ b/standins/backend/scripted_engine.cc
@@ -26,6 +26,14 @@
          "\r\nServer-Signature: proof\r\nServer-Load: 1,0,8\r\n";
 }
 
+// Inserts header fields, each terminated by CRLF, after the status line.
+ScriptedEngine::Answer AddFields(ScriptedEngine::Answer answer,
+                                 const std::string& fields) {
+  std::string& head = answer.steps.front().bytes;
+  head.insert(head.find("\r\n") + 2, fields);
+  return answer;
+}
+
 }  // namespace
 
 ScriptedEngine::ScriptedEngine(int port, Script script)
@@ -166,6 +174,26 @@
             std::to_string(body.size()) + "\r\n\r\n" + body}}};
 }
 
+ScriptedEngine::Answer ScriptedEngine::Unavailable(
+    const Request& request,
+    std::chrono::milliseconds pause) {
+  return AddFields(
+      CompleteAnswer(request, 503, ""),
+      "Not-Executed: 1\r\nRetry-After: " +
+          std::to_string(std::chrono::duration<double>(pause).count()) +
+          "\r\n");
+}
+
+ScriptedEngine::Answer ScriptedEngine::Leaving(Answer answer) {
+  return AddFields(std::move(answer), "Server-Leaving: 1\r\n");
+}
+
+ScriptedEngine::Answer ScriptedEngine::Limited(Answer answer,
+                                               double requests_per_s) {
+  return AddFields(std::move(answer),
+                   "Server-Limit: " + std::to_string(requests_per_s) + "\r\n");
+}
+
 std::string ScriptedEngine::StreamHead(const Request& request) {
   return "HTTP/1.1 200 OK\r\n" + CommonHeaders(request) +
          "Content-Type: text/event-stream\r\nTransfer-Encoding: "
--- a/standins/backend/scripted_engine.h
+++ b/standins/backend/scripted_engine.h
@@ -68,6 +68,15 @@
   static Answer CompleteAnswer(const Request& request,
                                int status,
                                const std::string& body);
+  // Returns an answer by which the engine turns the request away without
+  // running it, and asks for a pause of `pause`.
+  static Answer Unavailable(const Request& request,
+                            std::chrono::milliseconds pause);
+  // Returns the answer of an engine that leaves.
+  static Answer Leaving(Answer answer);
+  // Returns the answer of an engine that accepts `requests_per_s` from all
+  // instances together.
+  static Answer Limited(Answer answer, double requests_per_s);
   // Returns the header of an event stream with chunked transfer encoding.
   static std::string StreamHead(const Request& request);
   // Returns event `id` as one chunk.
--- a/tests/sessions/gateway/request_limit_test.cc
+++ b/tests/sessions/gateway/request_limit_test.cc
@@ -1,5 +1,3 @@
-#include <boost/algorithm/string/replace.hpp>
-
 #include "tests/sessions/gateway/gateway_fixture.h"
 
 namespace gateway_test {
@@ -22,11 +20,8 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     arrivals_.push_back(steady_clock::now());
     Answer answer = ScriptedEngine::CompleteAnswer(request, 200, "limited");
-    if (is_limited_)
-      boost::algorithm::replace_first(
-          answer.steps[0].bytes, "Server-Load:",
-          "Server-Limit: " + std::to_string(kLimit) + "\r\nServer-Load:");
-    return answer;
+    return is_limited_ ? ScriptedEngine::Limited(std::move(answer), kLimit)
+                       : answer;
   }
   void EndLimit() {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/soak/engine_main.cc
+++ b/tests/soak/engine_main.cc
@@ -83,12 +83,9 @@
     }
     if (bucket % 10 == 9)
       RemoveFraming(answer);
-    if (is_limited_)
-      boost::algorithm::replace_first(
-          answer.steps[0].bytes, "Server-Load:",
-          "Server-Limit: " + std::to_string(soak::kRequestLimit) +
-              "\r\nServer-Load:");
-    return answer;
+    return is_limited_
+               ? ScriptedEngine::Limited(std::move(answer), soak::kRequestLimit)
+               : answer;
   }
 
  private:
--- a/tests/unit/platform/headers_test.cc
+++ b/tests/unit/platform/headers_test.cc
@@ -122,6 +122,40 @@
           platform::DecodeResponseMetadata(200, message).requests_per_s);
     }
   }
+  SECTION("a server that leaves says so in any response") {
+    CHECK_FALSE(metadata.is_leaving);
+    message.set("Server-Leaving", "1");
+    for (const int status : {200, 421, 500, 503}) {
+      INFO(status);
+      CHECK(platform::DecodeResponseMetadata(status, message).is_leaving);
+    }
+    for (const char* text : {"", "0", "2", "yes", "11"}) {
+      INFO(text);
+      message.set("Server-Leaving", text);
+      CHECK_FALSE(platform::DecodeResponseMetadata(200, message).is_leaving);
+    }
+  }
+  SECTION("a 503 may ask for a pause in decimal seconds") {
+    CHECK_FALSE(platform::DecodeResponseMetadata(503, message).pause);
+    message.set("Retry-After", "1.5");
+    CHECK(platform::DecodeResponseMetadata(503, message).pause ==
+          std::chrono::milliseconds(1500));
+    CHECK_FALSE(platform::DecodeResponseMetadata(500, message).pause);
+    message.set("Retry-After", "0.0001");
+    CHECK(platform::DecodeResponseMetadata(503, message).pause ==
+          std::chrono::milliseconds(1));
+    message.set("Retry-After", "86400");
+    CHECK(platform::DecodeResponseMetadata(503, message).pause ==
+          std::chrono::minutes(1));
+    for (const char* text :
+         {"x", "1.4x", "-1", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+      INFO(text);
+      message.set("Retry-After", text);
+      const auto malformed = platform::DecodeResponseMetadata(503, message);
+      CHECK_FALSE(malformed.pause);
+      CHECK(malformed.malformed_pause == text);
+    }
+  }
   SECTION("only status 421 or Not-Executed marks a request as not executed") {
     CHECK(platform::DecodeResponseMetadata(421, message).not_executed);
     CHECK_FALSE(platform::DecodeResponseMetadata(503, message).not_executed);
