Send nothing new to a backend server that says it leaves

Cause: Server-Leaving was not read; an instance learned of a departure only from the registry, so not while the store was away or read from an old copy. Idle connections are closed; streams in progress are relayed to their end. Other instances are not told: each hears it with the next response, and the registry's draining entry reaches them too; a row per instance and departure would cost n writes.

--- a/src/dandelionmill/gateway/backend_directory.cc
+++ b/src/dandelionmill/gateway/backend_directory.cc
@@ -58,6 +58,21 @@
   found->second.expires_at = *earliest_outage_end_ + kReregistrationGrace;
 }
 
+bool BackendDirectory::OnLeaving(const base::BackendId& id,
+                                 std::int64_t incarnation,
+                                 base::MonoTime now) {
+  const auto [leave, is_new] = leaves_.try_emplace(id);
+  const bool has_changed = is_new || leave->second.incarnation != incarnation;
+  leave->second = {incarnation, now + kDepartureMemory};
+  return has_changed;
+}
+
+bool BackendDirectory::IsLeaving(const BackendEntry& entry) const {
+  const auto leave = leaves_.find(entry.id);
+  return leave != leaves_.end() &&
+         leave->second.incarnation == entry.incarnation;
+}
+
 void BackendDirectory::Replace(const std::vector<BackendEntry>& entries,
                                base::MonoTime now) {
   const bool is_restored = std::exchange(is_next_read_restored_, false);
@@ -92,6 +107,11 @@
     Erase(id, now);
   for (auto it = departures_.begin(); it != departures_.end();)
     it = it->second.expires_at <= now ? departures_.erase(it) : std::next(it);
+  for (auto it = leaves_.begin(); it != leaves_.end();) {
+    const bool is_over =
+        it->second.expires_at <= now && members_.count(it->first) == 0;
+    it = is_over ? leaves_.erase(it) : std::next(it);
+  }
   return expired;
 }
 
@@ -103,7 +123,7 @@
     const bool has_expired = member.expires_at && *member.expires_at <= now;
     const bool is_unproven = member.usable_at && now < *member.usable_at;
     if (member.entry.service == service && !member.entry.draining &&
-        !has_expired && !is_unproven)
+        !has_expired && !is_unproven && !IsLeaving(member.entry))
       usable.push_back(&member.entry);
   }
   return usable;
--- a/src/dandelionmill/gateway/backend_directory.h
+++ b/src/dandelionmill/gateway/backend_directory.h
@@ -2,6 +2,7 @@
 #define SRC_DANDELIONMILL_GATEWAY_BACKEND_DIRECTORY_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,7 +19,8 @@
 // Entries that are missing when it is reachable again stay usable for
 // kReregistrationGrace, since a running backend server writes its entry again.
 // A backend server that leaves does not become usable again by an older entry,
-// which a store that was restored from a copy may list. Pure.
+// which a store that was restored from a copy may list, nor by any entry of the
+// same start once it has said itself that it leaves. Pure.
 class BackendDirectory {
  public:
   // How long after a registry outage a backend server with a missing entry
@@ -42,6 +44,10 @@
   // Removes an entry whose address now belongs to another server. It is usable
   // again once the entry is rewritten.
   void Discard(const base::BackendId& id) { members_.erase(id); }
+  // A backend server has said that it leaves. Returns whether that is new.
+  bool OnLeaving(const base::BackendId& id,
+                 std::int64_t incarnation,
+                 base::MonoTime now);
   // Replaces the whole content after a full read of the registry.
   void Replace(const std::vector<BackendEntry>& entries, base::MonoTime now);
   // The registry is reachable again. `last_unreachable_at` is the latest time
@@ -66,6 +72,8 @@
   // ordered by id. The pointers are valid until the next command.
   std::vector<const BackendEntry*> Usable(const base::ServiceId& service,
                                           base::MonoTime now) const;
+  // Whether this start of the backend server has said that it leaves.
+  bool IsLeaving(const BackendEntry& entry) const;
   // Returns the software versions of the listed backend servers by service.
   std::map<base::ServiceId, std::set<std::string>> ListedVersions() const;
   // Returns nullptr for an unknown id. Valid until the next command.
@@ -85,6 +93,12 @@
     base::MonoTime expires_at;
   };
 
+  struct Leave {
+    std::int64_t incarnation = 0;
+    // Not forgotten before, nor while the backend server is listed.
+    base::MonoTime expires_at;
+  };
+
   void Erase(const base::BackendId& id, base::MonoTime now);
   // Returns the last entry of this start of the backend server, if it is or was
   // listed.
@@ -94,6 +108,8 @@
 
   std::map<base::BackendId, Member> members_;
   std::map<base::BackendId, Departure> departures_;
+  // Backend servers that have said that they leave.
+  std::map<base::BackendId, Leave> leaves_;
   bool is_next_read_restored_ = false;
   // Lower bound of the time at which the last outage ended; not set before the
   // first outage.
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -436,7 +436,8 @@
 }
 
 bool Exchange::IsChoiceOutdated(base::MonoTime now) const {
-  return context_.backoff.IsPaused(*backend_, now);
+  return context_.backoff.IsPaused(*backend_, now) ||
+         context_.directory.IsLeaving(*backend_);
 }
 
 void Exchange::SendRequest(BackendConnectionPtr connection) {
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -89,7 +89,7 @@
   void OnConnected(ConnectionPool::Result result);
   void SendRequest(BackendConnectionPtr connection);
   // Whether the chosen backend server has said, since it was chosen, that it
-  // wants no requests for some time.
+  // leaves or wants no requests for some time.
   bool IsChoiceOutdated(base::MonoTime now) const;
   // Returns whether the request may be sent to another backend server. If so,
   // takes one extra attempt from the allowance; otherwise sets
@@ -116,8 +116,8 @@
   void ConfirmEnd();
   // Relays what is left of a complete response.
   void FinishResponse();
-  // Takes note of what a response says about its backend server: load, limits
-  // and a pause.
+  // Takes note of what a response says about its backend server: load, limits,
+  // a pause, and that it leaves.
   void ObserveBackend(const ResponseMetadata& metadata, base::MonoTime now);
   void OnRejected();
   void OnFailureStatus();
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -107,6 +107,12 @@
     log::Event event(log::Level::kWarning, "backend_pause_malformed");
     AddPlacementFields(event).With("retry_after", metadata.malformed_pause);
   }
+  if (metadata.is_leaving &&
+      context_.directory.OnLeaving(backend_->id, backend_->incarnation, now)) {
+    context_.pool.CloseIdle(backend_->id);
+    log::Event event(log::Level::kInfo, "backend_leaving");
+    AddPlacementFields(event).With("incarnation", backend_->incarnation);
+  }
 }
 
 void Exchange::OnBody(std::string_view bytes) {
--- a/tests/property/gateway/leaving_and_paused_property.cc
+++ b/tests/property/gateway/leaving_and_paused_property.cc
@@ -30,6 +30,55 @@
 
 }  // namespace
 
+TEST_CASE("No sequence of entries makes a leaving start usable again",
+          "[gateway]") {
+  const auto property = [] {
+    base::MonoTime now{std::chrono::hours(1)};
+    BackendDirectory directory;
+    std::int64_t incarnation = 1;
+    std::set<std::int64_t> leaving;
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int step = 0; step < steps; ++step) {
+      // A start that follows another does not give way to it again.
+      if (*rc::gen::inRange(0, 8) == 0)
+        ++incarnation;
+      now += milliseconds(*rc::gen::inRange(0, 1000));
+      BackendEntry entry = Entry(incarnation);
+      entry.draining = *rc::gen::arbitrary<bool>();
+      entry.change_count = static_cast<std::uint64_t>(*rc::gen::inRange(0, 5));
+      switch (*rc::gen::inRange(0, 6)) {
+        case 0:
+          directory.Put(entry);
+          break;
+        case 1:
+          directory.Remove(entry.id, now);
+          break;
+        case 2:
+          directory.OnStoreRestored(now);
+          break;
+        case 3:
+          directory.Replace({entry}, now);
+          break;
+        case 4:
+          directory.Expire(now);
+          break;
+        default: {
+          // Only a server that is listed can have answered.
+          const BackendEntry* listed = directory.Find(entry.id);
+          if (listed == nullptr)
+            break;
+          leaving.insert(listed->incarnation);
+          directory.OnLeaving(entry.id, listed->incarnation, now);
+          break;
+        }
+      }
+      for (const BackendEntry* usable : directory.Usable(kService, now))
+        RC_ASSERT(leaving.count(usable->incarnation) == 0);
+    }
+  };
+  CHECK(rc::check(property));
+}
+
 TEST_CASE("No sequence of responses sends requests into a pause", "[gateway]") {
   const auto property = [] {
     base::MonoTime now{std::chrono::hours(1)};
--- a/tests/unit/gateway/backend_directory_test.cc
+++ b/tests/unit/gateway/backend_directory_test.cc
@@ -140,3 +140,34 @@
   CHECK(UsableAt(directory, 1100) == 1);
   CHECK(UsableAt(directory, 1000 + 2300) == 0);
 }
+
+TEST_CASE("A backend server that says it leaves is not usable", "[gateway]") {
+  BackendDirectory directory;
+  BackendEntry entry = Entry("a");
+  entry.incarnation = 7;
+  directory.Put(entry);
+  CHECK(directory.OnLeaving(BackendId("a"), 7, At(0)));
+  CHECK_FALSE(directory.OnLeaving(BackendId("a"), 7, At(0)));
+  CHECK(UsableAt(directory, 0) == 0);
+  SECTION("its entry is written again as ready") {
+    ++entry.change_count;
+    directory.Put(entry);
+    CHECK(UsableAt(directory, 0) == 0);
+  }
+  SECTION("its entry lapses and a restored registry lists it again") {
+    directory.Remove(BackendId("a"), At(100));
+    directory.Expire(At(30000));
+    directory.OnStoreRestored(At(30000));
+    directory.Replace({entry}, At(30100));
+    CHECK(UsableAt(directory, 30000 + 20000) == 0);
+  }
+  SECTION("it is remembered for as long as the registry lists it") {
+    directory.Expire(At(600000));
+    CHECK(UsableAt(directory, 600000) == 0);
+  }
+  SECTION("another start of it is usable") {
+    ++entry.incarnation;
+    directory.Put(entry);
+    CHECK(UsableAt(directory, 0) == 1);
+  }
+}
