--- a/tests/unit/platform/store_client_test.cc
+++ b/tests/unit/platform/store_client_test.cc
@@ -28,6 +28,13 @@
          std::to_string(length) + "\r\n\r\n";
 }
 
+// Returns a complete answer whose head has `field` as a further line.
+ScriptedEngine::Answer AnswerWith(const std::string& field) {
+  std::string head = Head(kRow.size());
+  head.insert(head.find("\r\n") + 2, field);
+  return {{{head + kRow}}};
+}
+
 // Answers one feed call with `answer` and returns what the client makes of it.
 TableResponse FollowWith(ScriptedEngine::Answer answer) {
   ScriptedEngine store(
@@ -135,3 +142,21 @@
   CHECK_THAT(response.detail, Catch::Contains(reason));
   CHECK(response.rows.empty());
 }
+
+TEST_CASE("The era of the store is read from each response", "[platform]") {
+  SECTION("as it stands in the header") {
+    CHECK(FollowWith(AnswerWith("Store-Era: 3\r\n")).era == 3u);
+    CHECK(FollowWith(AnswerWith("store-era: 0\r\n")).era == 0u);
+  }
+  SECTION("and unknown if it is missing or malformed") {
+    for (const char* field :
+         {"", "Store-Era:\r\n", "Store-Era: -1\r\n", "Store-Era: 2x\r\n",
+          "Store-Era: 1.5\r\n", "Store-Era: 99999999999999999999\r\n",
+          "Store-Epoch: 4\r\n"}) {
+      INFO(field);
+      const TableResponse response = FollowWith(AnswerWith(field));
+      CHECK(response.outcome == CallOutcome::kDone);
+      CHECK_FALSE(response.era);
+    }
+  }
+}
