Move only the load above what an instance bears, and see a full processor

Cause: the overload detector was a switch. Above 0.6 of the link an instance lost all its callers for at least 3 s, who drowned the next one. It did not see a full processor: ticks have to be 120 ms late, and a process with 0.12 cores that is full has ticks 20 to 40 ms late. And on its own full link it took the time-outs of connections for faults of backend servers: each request opened four of them, 350 ms each, and the servers were ejected. Change: the load is the fullest of the link, the event loop's backlog (sampled by LoopRunner) and the time of the fastest connections to backend servers. Who relapses stays away for longer. A connection that times out on the own full link is not the server's fault, and not opened again.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -82,6 +82,14 @@
     return;
   }
   context_.RetryAllowanceFor(service_->id).OnRequest(started_at_);
+  // A resumed stream has been broken off once already.
+  if (request_metadata_.last_event_id.empty() &&
+      context_.ShouldRejectRequest()) {
+    caller_keeps_connection_ = false;
+    Refuse(RefuseNotRun(base::Code::kOverloaded, "the instance is overloaded",
+                        kRetryAtOnce));
+    return;
+  }
   ResolveVersion();
 }
 
@@ -371,7 +379,10 @@
   }
   ArmTimer();
   context_.pool.Connect(
-      *backend_, [self = shared_from_this()](ConnectionPool::Result result) {
+      *backend_, [self = shared_from_this(),
+                  begin = steady_clock::now()](ConnectionPool::Result result) {
+        self->context_.overload.OnConnect(
+            duration_cast<milliseconds>(steady_clock::now() - begin));
         self->OnConnected(std::move(result));
       });
 }
@@ -397,9 +408,13 @@
   }
   if (failure == ConnectFailure::kRefused)
     context_.crash_guard.OnConnectionRefused(backend_->id, steady_clock::now());
-  EndAttempt(AttemptEnd::kBroken);
+  // On a full link of this instance every connection times out, and more of
+  // them fill it further.
+  const bool is_own_link = failure == ConnectFailure::kTimedOut &&
+                           context_.overload.is_link_queued();
+  EndAttempt(is_own_link ? AttemptEnd::kAbandoned : AttemptEnd::kBroken);
   ++connect_failures_;
-  if (connect_failures_ < kMaxConnectFailures &&
+  if (!is_own_link && connect_failures_ < kMaxConnectFailures &&
       RemainingTime() > kMinAttemptTime) {
     StartAttempt();
     return;
@@ -409,7 +424,7 @@
                             "no other backend server could be reached")
              : RefuseNotRun(base::Code::kNoBackend,
                             "no backend server could be reached",
-                            kRetryAfterNoBackend));
+                            is_own_link ? kRetryAtOnce : kRetryAfterNoBackend));
 }
 
 std::string Exchange::RequestHead() const {
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -125,6 +125,9 @@
   void RelayEvents(std::string_view bytes);
   // Stops reading from the backend server while the caller reads slowly.
   void PauseIfQueueIsLong();
+  // Decides whether the caller's connection is closed after the response. Call
+  // once, before the head of the response is sent.
+  void DecideConnection();
   void SendHead(bool chunked, std::size_t length);
   void SendChunk(std::string_view bytes);
   void ArmTimer();
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -387,11 +387,15 @@
 
 void Gateway::Tick(base::MonoTime now) {
   const bool was_overloaded = context_.overload.is_overloaded();
-  context_.overload.Tick(now, kTickInterval);
+  context_.overload.Tick(
+      now, kTickInterval,
+      options_.loop_backlog_share ? options_.loop_backlog_share() : 0);
   if (context_.overload.is_overloaded() != was_overloaded) {
     log::Event(log::Level::kWarning,
                was_overloaded ? "overload_ended" : "overloaded")
         .With("link_use", context_.overload.link_use())
+        .With("backlog_share", context_.overload.backlog_share())
+        .With("connect_ms", context_.overload.connect_delay())
         .With("open_requests", context_.open_exchange_count);
   }
   for (const base::BackendId& id : context_.directory.Expire(now)) {
@@ -419,8 +423,8 @@
 }
 
 bool Gateway::IsReady() const {
-  return !context_.ShouldCloseConnections() && context_.config != nullptr &&
-         backend_follower_.has_snapshot();
+  return !context_.is_shutting_down && !context_.overload.is_overloaded() &&
+         context_.config != nullptr && backend_follower_.has_snapshot();
 }
 
 void Gateway::Shutdown(std::function<void()> done) {
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -32,6 +32,9 @@
     // Port of the metrics endpoint; 0 for none.
     int metrics_port = 0;
     PlacementPolicy placement = ByCost();
+    // Returns LoopRunner::backlog_share of the loop; null if it is not
+    // measured.
+    std::function<double()> loop_backlog_share;
   };
 
   // `loop` must outlive this.
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -50,10 +50,22 @@
     return retry_allowances.try_emplace(service, retry_limits).first->second;
   }
 
-  // Whether callers should reconnect, so that the balancer sends them to
-  // another instance.
-  bool ShouldCloseConnections() const {
-    return is_shutting_down || overload.is_overloaded();
+  // Whether a caller should reconnect after a response, so that the balancer
+  // sends it to another instance. Random while the instance is overloaded.
+  bool ShouldCloseConnection() {
+    return is_shutting_down ||
+           IsDrawn(overload.CloseShare(std::chrono::steady_clock::now()));
+  }
+
+  // Whether a new request should be rejected, so that its retry reaches an
+  // instance with room. Random.
+  bool ShouldRejectRequest() {
+    return IsDrawn(overload.RejectShare(std::chrono::steady_clock::now()));
+  }
+
+  // Returns true with the probability `share`.
+  bool IsDrawn(double share) {
+    return share > 0 && std::bernoulli_distribution(share)(random);
   }
 
   boost::asio::io_context& loop;
--- a/src/dandelionmill/gateway/gateway_main.cc
+++ b/src/dandelionmill/gateway/gateway_main.cc
@@ -5,6 +5,7 @@
 
 #include "dandelionmill/gateway/gateway.h"
 #include "dandelionmill/gateway/gateway_settings.h"
+#include "dandelionmill/gateway/loop_runner.h"
 #include "dandelionmill/log/event.h"
 #include "dandelionmill/platform/node_settings.h"
 #include "dandelionmill/settings/command_line.h"
@@ -57,9 +58,11 @@
     std::cerr << base::ToString(base::ErrorOf(placement)) << "\n";
     return settings::kExitUsage;
   }
-  Gateway gateway(loop, base::ValueOf(settings),
-                  {static_cast<int>(startup.values.Integer("metrics_port")),
-                   base::ValueOf(placement)});
+  LoopRunner runner(loop);
+  Gateway gateway(
+      loop, base::ValueOf(settings),
+      {static_cast<int>(startup.values.Integer("metrics_port")),
+       base::ValueOf(placement), [&runner] { return runner.backlog_share(); }});
   const base::Status status = gateway.Start();
   if (!base::IsOk(status)) {
     std::cerr << base::ToString(base::ErrorOf(status)) << "\n";
@@ -77,7 +80,7 @@
       Reload(gateway);
     }
   });
-  loop.run();
+  runner.Run();
   return 0;
 }
 
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -206,7 +206,8 @@
             std::string(response_fields_[http::field::content_length]) + "\r\n";
   else if (!has_no_body)
     head += "Content-Length: " + std::to_string(length) + "\r\n";
-  if (!caller_keeps_connection_ || context_.ShouldCloseConnections())
+  DecideConnection();
+  if (!caller_keeps_connection_)
     head += "Connection: close\r\n";
   response_writer_->Send(head + "\r\n");
 }
--- a/src/dandelionmill/gateway/internal/exchange_end.cc
+++ b/src/dandelionmill/gateway/internal/exchange_end.cc
@@ -25,12 +25,17 @@
   if (refusal.code == base::Code::kConfigBehind ||
       refusal.code == base::Code::kBudgetUnknown)
     caller_keeps_connection_ = false;
-  response_writer_->Send(ToHttpResponse(
-      refusal, request_metadata_.attempt,
-      !caller_keeps_connection_ || context_.ShouldCloseConnections()));
+  DecideConnection();
+  response_writer_->Send(ToHttpResponse(refusal, request_metadata_.attempt,
+                                        !caller_keeps_connection_));
   CompleteRequest(outcome, refusal.status, code, refusal.detail);
 }
 
+void Exchange::DecideConnection() {
+  if (context_.ShouldCloseConnection())
+    caller_keeps_connection_ = false;
+}
+
 void Exchange::SettleTokens() {
   if (reserved_tokens_ == 0)
     return;
@@ -94,8 +99,7 @@
       kind, outcome, code, duration_cast<milliseconds>(now - started_at_));
   if (response_writer_ != nullptr) {
     std::exchange(response_writer_, nullptr)
-        ->EndResponse(caller_keeps_connection_ &&
-                      !context_.ShouldCloseConnections());
+        ->EndResponse(caller_keeps_connection_ && !context_.is_shutting_down);
   }
 }
 
--- a/src/dandelionmill/gateway/overload_detector.cc
+++ b/src/dandelionmill/gateway/overload_detector.cc
@@ -7,53 +7,138 @@
 
 using std::chrono::duration;
 
-// Link utilization above which bursts make queues grow, and below which the
-// overload ends.
-constexpr double kOverloadLinkUse = 0.6;
-constexpr double kRecoveryLinkUse = 0.35;
+// Utilization above which bursts make queues grow.
+constexpr double kFullLinkUse = 0.6;
+constexpr double kFullBacklogShare = 0.55;
+
+// Time to open a connection above which the link counts as full: twice a
+// handshake between regions, with some time at the backend server.
+constexpr std::chrono::milliseconds kFullConnectDelay{80};
+
+// Time to open a connection above which a time-out says nothing about the
+// backend server.
+constexpr std::chrono::milliseconds kQueuedConnectDelay{200};
+
+// Connections in one tick without which the fastest says nothing, and weight of
+// a tick without them.
+constexpr int kMinConnects = 2;
+constexpr double kConnectDelayDecay = 0.8;
+
+// Load, relative to a full link or processor, above which the instance is
+// overloaded, below which that ends, and above which requests are rejected.
+constexpr double kOverload = 1;
+constexpr double kRecoveryLoad = 0.6;
+constexpr double kRejectLoad = 1.25;
+
+// Most responses after which the connection is closed, and most requests that
+// are rejected, so that the estimate can follow.
+constexpr double kMaxCloseShare = 0.25;
+constexpr double kMaxRejectShare = 0.5;
 
 // Weight of one tick in the moving average of the link utilization.
 constexpr double kLinkUseSmoothing = 0.3;
 
 // Delay of a tick, and number of consecutive ticks that late, that indicate an
-// overloaded processor.
+// overloaded processor, and the load that they stand for.
 constexpr std::chrono::milliseconds kMinTickDelay{120};
 constexpr int kOverloadLateTicks = 3;
+constexpr double kLateTicksLoad = 2;
+
+// How long the load must be below the limit before the overload ends.
+constexpr std::chrono::milliseconds kRecoveryTime{1000};
 
-// How long the load must be below the limits before the overload ends. Longer
-// than the balancer takes to notice a change, so that the state does not flap.
-constexpr std::chrono::milliseconds kRecoveryTime{3000};
+// Least duration of the first overload and of any, and the time from its end
+// within which the next one counts as a relapse, which doubles it.
+constexpr std::chrono::milliseconds kFirstOverloadTime{3000};
+constexpr std::chrono::milliseconds kMaxOverloadTime{30000};
+constexpr std::chrono::milliseconds kRelapseTime{8000};
+
+// Time in which the balancer notices that an instance is not ready: two checks
+// one second apart.
+constexpr std::chrono::milliseconds kBalancerNoticeTime{2000};
 
 }  // namespace
 
+void OverloadDetector::OnConnect(std::chrono::milliseconds duration) {
+  fastest_connect_ =
+      connect_count_ == 0 ? duration : std::min(fastest_connect_, duration);
+  ++connect_count_;
+}
+
 void OverloadDetector::Tick(base::MonoTime now,
-                            std::chrono::milliseconds period) {
-  if (last_tick_ == base::MonoTime()) {
-    last_tick_ = now;
-    return;
-  }
-  const duration<double> elapsed = now - last_tick_;
-  last_tick_ = now;
+                            std::chrono::milliseconds period,
+                            double backlog_share) {
   const double bits =
       8.0 * static_cast<double>(std::max(received_bytes_, sent_bytes_));
   received_bytes_ = 0;
   sent_bytes_ = 0;
+  backlog_share_ = backlog_share;
+  const bool is_first = last_tick_ == base::MonoTime();
+  const duration<double> elapsed = now - last_tick_;
+  last_tick_ = now;
+  if (is_first)
+    return;
   if (link_bits_per_s_ > 0 && elapsed.count() > 0) {
     const double use = bits / elapsed.count() / link_bits_per_s_;
     link_use_ += kLinkUseSmoothing * (use - link_use_);
   }
+  connect_delay_ = connect_count_ >= kMinConnects
+                       ? fastest_connect_
+                       : std::chrono::duration_cast<std::chrono::milliseconds>(
+                             kConnectDelayDecay * connect_delay_);
+  connect_count_ = 0;
   consecutive_late_ticks_ =
       elapsed > period + kMinTickDelay ? consecutive_late_ticks_ + 1 : 0;
-  const bool exceeds_limits = link_use_ > kOverloadLinkUse ||
-                              consecutive_late_ticks_ >= kOverloadLateTicks;
-  const bool is_recovering =
-      link_use_ < kRecoveryLinkUse && consecutive_late_ticks_ == 0;
-  if (exceeds_limits)
-    is_overloaded_ = true;
-  if (!is_recovering)
+  const double load = Load();
+  if (load > kOverload && !is_overloaded_)
+    BeginOverload(now);
+  if (load >= kRecoveryLoad || consecutive_late_ticks_ > 0)
     recovering_since_ = now;
-  else if (now - recovering_since_ >= kRecoveryTime)
+  else if (is_overloaded_ && now - recovering_since_ >= kRecoveryTime &&
+           now - overloaded_since_ >= min_overload_time_) {
     is_overloaded_ = false;
+    overload_ended_at_ = now;
+  }
+}
+
+void OverloadDetector::BeginOverload(base::MonoTime now) {
+  const bool is_relapse = overload_ended_at_ != base::MonoTime() &&
+                          now - overload_ended_at_ < kRelapseTime;
+  min_overload_time_ = is_relapse
+                           ? std::min(kMaxOverloadTime, 2 * min_overload_time_)
+                           : kFirstOverloadTime;
+  is_overloaded_ = true;
+  overloaded_since_ = now;
+}
+
+bool OverloadDetector::IsOutOfRotation(base::MonoTime now) const {
+  return is_overloaded_ && now - overloaded_since_ >= kBalancerNoticeTime;
+}
+
+double OverloadDetector::Load() const {
+  const double late_ticks_load =
+      consecutive_late_ticks_ >= kOverloadLateTicks ? kLateTicksLoad : 0;
+  return std::max({link_use_ / kFullLinkUse, backlog_share_ / kFullBacklogShare,
+                   duration<double>(connect_delay_) / kFullConnectDelay,
+                   late_ticks_load});
+}
+
+double OverloadDetector::CloseShare(base::MonoTime now) const {
+  const double load = Load();
+  return load <= 1 || !IsOutOfRotation(now)
+             ? 0
+             : std::min(kMaxCloseShare, 1 - 1 / load);
+}
+
+double OverloadDetector::RejectShare(base::MonoTime now) const {
+  const double load = Load();
+  return load <= kRejectLoad || !IsOutOfRotation(now)
+             ? 0
+             : std::min(kMaxRejectShare, 1 - kRejectLoad / load);
+}
+
+bool OverloadDetector::is_link_queued() const {
+  return connect_delay_ > kQueuedConnectDelay;
 }
 
 }  // namespace dandelionmill::gateway
--- a/src/dandelionmill/gateway/overload_detector.h
+++ b/src/dandelionmill/gateway/overload_detector.h
@@ -8,8 +8,13 @@
 
 namespace dandelionmill::gateway {
 
-// Detects when the load of this instance exceeds its network link or its share
-// of the processor, so that callers should use another instance. Pure.
+// Measures the load of this instance's network link and of its share of the
+// processor. When they are full, new connections should go to other instances,
+// and of the open ones the part above what the instance bears; the rest stays,
+// so that the callers do not all fall on the next instance. An instance that is
+// overloaded again soon after it came back stays away for longer each time: the
+// balancer prefers the same instance for a caller each time, so a caller that
+// is too large for it settles at one that bears it. Pure.
 class OverloadDetector {
  public:
   // `link_bits_per_s` is the rate of the instance's link in each direction; 0
@@ -20,23 +25,58 @@
   // Commands.
   void OnReceived(std::size_t bytes) { received_bytes_ += bytes; }
   void OnSent(std::size_t bytes) { sent_bytes_ += bytes; }
+  // Opening a connection to a backend server has taken `duration`, or has timed
+  // out after it. While even the fastest take long, packets wait on the link.
+  void OnConnect(std::chrono::milliseconds duration);
   // Call every `period`. The delay of the call shows the load of the processor.
-  void Tick(base::MonoTime now, std::chrono::milliseconds period);
+  // `backlog_share` is that of the event loop, see LoopRunner.
+  void Tick(base::MonoTime now,
+            std::chrono::milliseconds period,
+            double backlog_share);
 
   // Queries.
+  // Whether packets wait so long on the instance's link that the time-out of a
+  // connection says nothing about its backend server.
+  bool is_link_queued() const;
+  // Whether new connections should go to other instances.
   bool is_overloaded() const { return is_overloaded_; }
-  // Utilization of the link in the busier direction, from 0 to 1, as an
-  // exponential moving average.
+  // Share of the responses after which the caller's connection should be
+  // closed, from 0 to 1. 0 until the balancer has noticed that the instance
+  // takes no new connections, since the caller would come back.
+  double CloseShare(base::MonoTime now) const;
+  // Share of the new requests that should be rejected, from 0 to 1, so that
+  // their retries reach other instances. 0 as long as CloseShare.
+  double RejectShare(base::MonoTime now) const;
+  // Utilization of the link in the busier direction, as an exponential moving
+  // average, and what Tick was given last, both from 0 to 1.
   double link_use() const { return link_use_; }
+  double backlog_share() const { return backlog_share_; }
+  // Time that the fastest connections to backend servers took of late.
+  std::chrono::milliseconds connect_delay() const { return connect_delay_; }
 
  private:
+  // Load relative to what the instance bears without queues: 1 when full.
+  double Load() const;
+  // Whether the balancer gives new connections to other instances by now.
+  bool IsOutOfRotation(base::MonoTime now) const;
+  void BeginOverload(base::MonoTime now);
+
   const double link_bits_per_s_;
   std::uint64_t received_bytes_ = 0;
   std::uint64_t sent_bytes_ = 0;
   base::MonoTime last_tick_{};
   double link_use_ = 0;
+  double backlog_share_ = 0;
+  std::chrono::milliseconds connect_delay_{0};
+  // Connections since the last tick, and the time that the fastest took.
+  int connect_count_ = 0;
+  std::chrono::milliseconds fastest_connect_{0};
   int consecutive_late_ticks_ = 0;
   bool is_overloaded_ = false;
+  base::MonoTime overloaded_since_{};
+  base::MonoTime overload_ended_at_{};
+  // Least time from the beginning of the overload to its end.
+  std::chrono::milliseconds min_overload_time_{0};
   base::MonoTime recovering_since_{};
 };
 
