Soak: backend servers that say they leave or ask for a pause

The checks judge each process of a gateway: no request sent later than the drain bound after a response that it passed on, and at most two in a pause. Both checks have a unit test with a case that they report.

--- a/tests/soak/engine_main.cc
+++ b/tests/soak/engine_main.cc
@@ -25,7 +25,8 @@
 // requests fail: one half is refused with 503, the other half broken off.
 // One in ten responses has neither a length nor chunks. A request with a shared
 // prompt part that begins with "bad" ends the process. SIGUSR1 makes it name a
-// request limit in its responses, SIGUSR2 ends that.
+// request limit in its responses, SIGHUP says in them that it leaves, SIGALRM
+// makes it turn requests away ("turned_away") for kPauseTime. SIGUSR2 ends all.
 
 namespace {
 
@@ -50,12 +51,24 @@
       std::exit(1);
   }
 
-  void SetLimited(bool limited) { is_limited_ = limited; }
+  void OnSignal(int signal) {
+    is_limited_ = signal == SIGUSR1;
+    is_leaving_ = signal == SIGHUP;
+    paused_until_ = signal == SIGALRM
+                        ? std::chrono::steady_clock::now() + soak::kPauseTime
+                        : std::chrono::steady_clock::time_point();
+  }
 
   Answer AnswerTo(const Request& request) {
     const std::string expected(request["Expected-Instance"]);
     if (!expected.empty() && expected != id_)
       return NotExecuted(request, 421);
+    const auto now = std::chrono::steady_clock::now();
+    if (now < paused_until_.load()) {
+      RecordEvent("turned_away", request);
+      return ScriptedEngine::Unavailable(
+          request, std::chrono::ceil<milliseconds>(paused_until_.load() - now));
+    }
     const std::string id(request["Attempt-Id"]);
     // The hash makes the outcome differ between backend servers and between
     // runs of a request.
@@ -83,6 +96,8 @@
     }
     if (bucket % 10 == 9)
       RemoveFraming(answer);
+    if (is_leaving_)
+      answer = ScriptedEngine::Leaving(std::move(answer));
     return is_limited_
                ? ScriptedEngine::Limited(std::move(answer), soak::kRequestLimit)
                : answer;
@@ -172,6 +187,8 @@
   std::FILE* const log_;
   const int failure_percent_;
   std::atomic<bool> is_limited_{false};
+  std::atomic<bool> is_leaving_{false};
+  std::atomic<std::chrono::steady_clock::time_point> paused_until_{};
   std::mutex mutex_;
 };
 
@@ -185,7 +202,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   sigset_t handled_signals;
   sigemptyset(&handled_signals);
-  for (const int signal : {SIGTERM, SIGUSR1, SIGUSR2})
+  for (const int signal : {SIGTERM, SIGUSR1, SIGUSR2, SIGHUP, SIGALRM})
     sigaddset(&handled_signals, signal);
 
   sigprocmask(SIG_BLOCK, &handled_signals, nullptr);
@@ -196,7 +213,7 @@
   int signal_number = 0;
   while (sigwait(&handled_signals, &signal_number) == 0 &&
          signal_number != SIGTERM)
-    engine.SetLimited(signal_number == SIGUSR1);
+    engine.OnSignal(signal_number);
 
   std::_Exit(0);
 }
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -40,6 +40,7 @@
 constexpr milliseconds kCrashingPromptsDuration{11000};
 constexpr milliseconds kCrashingPromptInterval{150};
 constexpr milliseconds kLimitDuration{9000};
+constexpr milliseconds kLeavingDuration{6000};
 constexpr unsigned kRestoreSeed = 0x52455354;
 constexpr milliseconds kMaxCopyAge{4000};
 constexpr milliseconds kMaxRewriteDelay{1500};
@@ -123,8 +124,8 @@
   }
 }
 
-// Adds prompts that crash backend servers, and request limits, each to about
-// every third seed.
+// Adds prompts that crash backend servers, request limits, backend servers that
+// say they leave and pauses that they ask for, each to about every third seed.
 void AddBackendTroubles(unsigned seed, std::vector<PlannedFault>& faults) {
   std::mt19937 random(seed ^ kBackendSeed);
   if (random() % 3 == 0) {
@@ -135,6 +136,16 @@
     faults.push_back(
         {milliseconds(500 + random() % 2000), kLimitDuration, LimitBackend{}});
   }
+  // Longer than the drain bound, so that late requests show.
+  if (random() % 3 == 0) {
+    faults.push_back({milliseconds(500 + random() % 2000), kLeavingDuration,
+                      BackendLeaves{}});
+  }
+  if (random() % 3 == 0) {
+    for (unsigned i = 0; i < 1 + random() % 3; ++i)
+      faults.push_back(
+          {milliseconds(500 + random() % 5000), kPauseTime, PauseBackend{}});
+  }
 }
 
 // Adds one to three restores of the store to about every third seed, half of
@@ -237,11 +248,21 @@
   return drain_announcements_;
 }
 
-std::vector<LimitedPeriod> FaultInjector::limited_periods() {
+std::vector<BackendPeriod> FaultInjector::limited_periods() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return limited_periods_;
 }
 
+std::vector<BackendPeriod> FaultInjector::leaving_periods() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return leaving_periods_;
+}
+
+std::vector<BackendPeriod> FaultInjector::paused_periods() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return paused_periods_;
+}
+
 std::vector<Violation> FaultInjector::violations() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return violations_;
@@ -371,17 +392,39 @@
   EndDisturbance(index);
 }
 
+void FaultInjector::SignalFor(const std::string& id,
+                              int signal,
+                              milliseconds duration,
+                              std::vector<BackendPeriod>& periods) {
+  fleet_.SignalBackend(id, signal);
+  const Time from = steady_clock::now();
+  std::this_thread::sleep_for(duration);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  periods.push_back({id, from, steady_clock::now()});
+}
+
 void FaultInjector::NameLimit(const PlannedFault& planned) {
   const std::string id = ChooseBackend();
   if (id.empty())
     return;
-  fleet_.SignalBackend(id, SIGUSR1);
-  const Time from = steady_clock::now();
-  std::this_thread::sleep_for(planned.duration);
-  const Time until = steady_clock::now();
+  SignalFor(id, SIGUSR1, planned.duration, limited_periods_);
   fleet_.SignalBackend(id, SIGUSR2);
-  const std::lock_guard<std::mutex> lock(mutex_);
-  limited_periods_.push_back({id, from, until});
+}
+
+void FaultInjector::LeaveWithNotice(const PlannedFault& planned) {
+  const std::string id = ChooseBackend();
+  if (id.empty())
+    return;
+  fleet_.AddBackend();
+  SignalFor(id, SIGHUP, planned.duration, leaving_periods_);
+  fleet_.RemoveBackendEntry(id);
+  // Lets requests that are still running finish.
+  std::this_thread::sleep_for(kDrainTime + kRouteTimeout);
+  const std::size_t index =
+      BeginDisturbance(Disturbance::Component::kBackend,
+                       Disturbance::Category::kUnplanned, -1, "backend left");
+  fleet_.StopBackend(id);
+  EndDisturbance(index);
 }
 
 void FaultInjector::RestoreFromCopy(const PlannedFault& planned,
@@ -518,7 +561,13 @@
           [&](const CrashingPrompts& fault) {
             SendCrashingPrompts(planned, fault.number);
           },
-          [&](const LimitBackend&) { NameLimit(planned); }},
+          [&](const LimitBackend&) { NameLimit(planned); },
+          [&](const BackendLeaves&) { LeaveWithNotice(planned); },
+          [&](const PauseBackend&) {
+            const std::string id = ChooseBackend();
+            if (!id.empty())
+              SignalFor(id, SIGALRM, kPauseTime, paused_periods_);
+          }},
       planned.fault);
 }
 
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -89,6 +89,11 @@
 };
 // Makes a backend server name a request limit.
 struct LimitBackend {};
+// Adds a replacement and stops a backend server that says in its responses that
+// it leaves, while its entry stays ready.
+struct BackendLeaves {};
+// Makes a backend server turn requests away and ask for a pause.
+struct PauseBackend {};
 
 using Fault = std::variant<KillGateway,
                            RestartGateway,
@@ -107,7 +112,9 @@
                            ChangeConfiguration,
                            ChangeConfigurationOften,
                            CrashingPrompts,
-                           LimitBackend>;
+                           LimitBackend,
+                           BackendLeaves,
+                           PauseBackend>;
 
 struct PlannedFault {
   std::chrono::milliseconds start{0};
@@ -119,8 +126,9 @@
 // may overlap. Each seed selects a few kinds of fault, so that runs differ in
 // which faults are combined. Every second seed, on average, adds series of
 // configurations, each with gateways that lose the store meanwhile, and about
-// as many add prompts that crash backend servers, request limits, or restores
-// of the store. A pure function.
+// as many add prompts that crash backend servers, request limits, backend
+// servers that say they leave or ask for a pause, or restores of the store. A
+// pure function.
 std::vector<PlannedFault> PlanFaults(unsigned seed,
                                      std::chrono::milliseconds length,
                                      int gateways);
@@ -139,7 +147,9 @@
 
   std::vector<Disturbance> disturbances();
   std::vector<DrainAnnouncement> drain_announcements();
-  std::vector<LimitedPeriod> limited_periods();
+  std::vector<BackendPeriod> limited_periods();
+  std::vector<BackendPeriod> leaving_periods();
+  std::vector<BackendPeriod> paused_periods();
 
   // Returns the violations that were detected while injecting faults.
   std::vector<Violation> violations();
@@ -154,7 +164,13 @@
   void InjectOnGateway(const PlannedFault& planned, int gateway);
   void Restart(int gateway);
   void SendCrashingPrompts(const PlannedFault& planned, unsigned number);
+  // Signals `id`, waits for `duration` and adds the time to `periods`.
+  void SignalFor(const std::string& id,
+                 int signal,
+                 std::chrono::milliseconds duration,
+                 std::vector<BackendPeriod>& periods);
   void NameLimit(const PlannedFault& planned);
+  void LeaveWithNotice(const PlannedFault& planned);
   void RestoreFromCopy(const PlannedFault& planned, const RestoreStore& fault);
   void StoreConfigurations(std::string what,
                            int versions,
@@ -171,7 +187,9 @@
   std::mutex mutex_;
   std::vector<Disturbance> disturbances_;
   std::vector<DrainAnnouncement> drain_announcements_;
-  std::vector<LimitedPeriod> limited_periods_;
+  std::vector<BackendPeriod> limited_periods_;
+  std::vector<BackendPeriod> leaving_periods_;
+  std::vector<BackendPeriod> paused_periods_;
 
   std::vector<Violation> violations_;
   std::mt19937 random_{1};
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -358,29 +358,46 @@
 }
 
 std::vector<Run> Fleet::ReadRuns() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<Run> runs;
+  std::map<std::pair<std::string, std::string>, std::size_t> last_run;
+  ReadBackendEvents([&](const std::string& event, const Run& run) {
+    const auto key = std::pair(run.backend, run.id);
+    if (event == "run") {
+      last_run[key] = runs.size();
+      runs.push_back(run);
+    } else if (event == "broke" && last_run.count(key) > 0) {
+      runs[last_run[key]].was_broken_off = true;
+    }
+  });
+  return runs;
+}
+
+std::vector<Run> Fleet::ReadTurnedAway() const {
+  std::vector<Run> turned_away;
+  ReadBackendEvents([&](const std::string& event, const Run& run) {
+    if (event == "turned_away")
+      turned_away.push_back(run);
+  });
+  return turned_away;
+}
+
+void Fleet::ReadBackendEvents(
+    const std::function<void(const std::string&, const Run&)>& handler) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
   for (const auto& [id, path] : run_logs_) {
     std::ifstream file(path);
-    std::string event;
-    std::int64_t started_us = 0;
-    std::string request;
-    std::string account;
-    std::map<std::string, std::size_t> last_run;
     std::string line;
     while (std::getline(file, line)) {
       std::istringstream fields(line);
-      fields >> event >> started_us >> request >> account;
-      if (event == "run") {
-        last_run[request] = runs.size();
-        runs.push_back({request, account, id,
-                        Time(std::chrono::microseconds(started_us)), false});
-      } else if (last_run.count(request) > 0) {
-        runs[last_run[request]].was_broken_off = true;
-      }
+      std::string event;
+      std::int64_t time_us = 0;
+      Run run;
+      run.backend = id;
+      fields >> event >> time_us >> run.id >> run.account;
+      run.started = Time(std::chrono::microseconds(time_us));
+      handler(event, run);
     }
   }
-  return runs;
 }
 
 }  // namespace soak
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -100,8 +101,13 @@
 
   // Reads the backend servers' run logs.
   std::vector<Run> ReadRuns() const;
+  // Returns the requests that backend servers turned away.
+  std::vector<Run> ReadTurnedAway() const;
 
  private:
+  // Calls the handler for each line of the backend servers' logs.
+  void ReadBackendEvents(const std::function<void(const std::string& event,
+                                                  const Run&)>& handler) const;
   struct Backend {
     std::unique_ptr<ChildProcess> process;
     std::shared_ptr<FaultProxy> link;
--- a/tests/soak/invariants.cc
+++ b/tests/soak/invariants.cc
@@ -50,6 +50,8 @@
       : records_(records), bounds_(bounds) {
     for (const Run& run : records.runs)
       runs_[run.id].push_back(&run);
+    for (const Exchange& exchange : records.exchanges)
+      exchanges_[exchange.request.id] = &exchange;
   }
 
   std::vector<Violation> Check() {
@@ -70,6 +72,8 @@
     CheckConfigVersions();
     CheckCrashingParts();
     CheckLimits();
+    CheckLeaving();
+    CheckPauses();
     return std::move(violations_);
   }
 
@@ -96,6 +100,22 @@
     return found == runs_.end() ? std::vector<const Run*>() : found->second;
   }
 
+  const Exchange* FindExchange(const std::string& id) const {
+    const auto found = exchanges_.find(id);
+    return found == exchanges_.end() ? nullptr : found->second;
+  }
+
+  std::vector<std::pair<const Run*, const Exchange*>> RunsAt(
+      const std::string& backend) const {
+    std::vector<std::pair<const Run*, const Exchange*>> runs;
+    for (const Run& run : records_.runs) {
+      const Exchange* exchange = FindExchange(run.id);
+      if (run.backend == backend && exchange != nullptr)
+        runs.emplace_back(&run, exchange);
+    }
+    return runs;
+  }
+
   // Returns whether an unplanned disturbance of one of `components` overlaps
   // the interval, or ended at most `margin` before it. Considers only
   // disturbances of `gateway` and of all gateways; -1 stands for any gateway.
@@ -261,7 +281,7 @@
   }
 
   void CheckLimits() {
-    for (const LimitedPeriod& period : records_.limited_periods) {
+    for (const BackendPeriod& period : records_.limited_periods) {
       std::vector<Time> runs;
       for (const Run& run : records_.runs) {
         if (run.backend == period.backend &&
@@ -290,6 +310,62 @@
     }
   }
 
+  // A process of a gateway that has passed on a response of a server that says
+  // it leaves sends that server nothing that comes later than the drain bound.
+  void CheckLeaving() {
+    using Process = std::pair<int, int>;
+    for (const BackendPeriod& period : records_.leaving_periods) {
+      std::map<Process, Time> told;
+      for (const auto& [run, exchange] : RunsAt(period.backend)) {
+        if (run->started < period.from + kDeliverySlack ||
+            !exchange->outcome.is_complete)
+          continue;
+        const auto [known, is_new] = told.emplace(
+            Process(exchange->request.gateway, exchange->request.boot),
+            exchange->outcome.ended);
+        known->second = std::min(known->second, exchange->outcome.ended);
+      }
+      for (const auto& [run, exchange] : RunsAt(period.backend)) {
+        const auto known = told.find(
+            Process(exchange->request.gateway, exchange->request.boot));
+        if (known != told.end() &&
+            exchange->request.sent > known->second + bounds_.drain &&
+            !IsDisturbed({Component::kGateway}, exchange->request.gateway,
+                         known->second, run->started))
+          Add("leaving", period.backend + " said that it leaves, then ran " +
+                             Describe(*exchange));
+      }
+    }
+  }
+
+  // Two requests of a gateway may reach a server in the pause that it asked
+  // for.
+  void CheckPauses() {
+    constexpr std::size_t kMaxRequests = 2;
+    for (const BackendPeriod& period : records_.paused_periods) {
+      std::map<std::pair<int, int>, std::vector<Time>> arrivals;
+      for (const Run& run : records_.turned_away) {
+        const Exchange* exchange = FindExchange(run.id);
+        if (run.backend == period.backend && run.started >= period.from &&
+            run.started < period.from + kPauseTime && exchange != nullptr)
+          arrivals[{exchange->request.gateway, exchange->request.boot}]
+              .push_back(run.started);
+      }
+      for (auto& [process, times] : arrivals) {
+        std::sort(times.begin(), times.end());
+        const auto late = static_cast<std::size_t>(std::count_if(
+            times.begin(), times.end(),
+            [&](Time at) { return at > times.front() + kDeliverySlack; }));
+        if (late > kMaxRequests &&
+            !IsDisturbed({Component::kGateway}, process.first, times.front(),
+                         times.back()))
+          Add("pause", period.backend + " got " + std::to_string(late) +
+                           " requests from gateway " +
+                           std::to_string(process.first) + " in its pause");
+      }
+    }
+  }
+
   // Each configuration version accepts exactly one key of the changing account,
   // so the accepted key identifies the version in force. A route limits it to
   // the versions with the route or to those without it.
@@ -399,6 +475,7 @@
   const Records& records_;
   const Bounds bounds_;
   std::map<std::string, std::vector<const Run*>> runs_;
+  std::map<std::string, const Exchange*> exchanges_;
   std::vector<Violation> violations_;
 };
 
--- a/tests/soak/records.h
+++ b/tests/soak/records.h
@@ -22,6 +22,9 @@
 // Requests per second that a limited backend server accepts.
 inline constexpr double kRequestLimit = 4;
 
+// How long a backend server turns requests away when it asks for a pause.
+inline constexpr std::chrono::milliseconds kPauseTime{3000};
+
 // Returns the software version of a backend server: servers of two versions
 // serve side by side.
 inline std::string SoftwareVersionOf(const std::string& backend) {
@@ -112,8 +115,9 @@
   Time announced{};
 };
 
-// A time in which a backend server names a request limit.
-struct LimitedPeriod {
+// A time in which a backend server names a request limit, says that it leaves,
+// or turns requests away and asks for a pause.
+struct BackendPeriod {
   std::string backend;
   Time from{};
   Time until{};
@@ -131,7 +135,11 @@
   std::vector<Disturbance> disturbances;
   std::vector<DrainAnnouncement> drain_announcements;
   std::vector<ConfigVersion> versions;
-  std::vector<LimitedPeriod> limited_periods;
+  // Requests that a backend server turned away while it asked for a pause.
+  std::vector<Run> turned_away;
+  std::vector<BackendPeriod> limited_periods;
+  std::vector<BackendPeriod> leaving_periods;
+  std::vector<BackendPeriod> paused_periods;
   // Account name and prepaid tokens as last configured.
   std::vector<std::pair<std::string, std::int64_t>> prepaid;
 };
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -273,7 +273,10 @@
     for (const Disturbance& stall : monitor.stalls())
       records.disturbances.push_back(stall);
     records.drain_announcements = injector.drain_announcements();
+    records.turned_away = fleet.ReadTurnedAway();
     records.limited_periods = injector.limited_periods();
+    records.leaving_periods = injector.leaving_periods();
+    records.paused_periods = injector.paused_periods();
     records.versions = fleet.versions();
     records.prepaid = fleet.prepaid();
     for (const Violation& violation : injector.violations())
--- a/tests/unit/soak/invariants_test.cc
+++ b/tests/unit/soak/invariants_test.cc
@@ -276,3 +276,48 @@
     CHECK(fixture.FirstViolation() == "configuration");
   }
 }
+
+TEST_CASE("A late request for a server that said it leaves is reported",
+          "[soak]") {
+  Fixture fixture;
+  fixture.records.leaving_periods = {{"b-0", At(-1000), At(9000)}};
+  fixture.records.exchanges.push_back(fixture.records.exchanges[0]);
+  Exchange& later = fixture.records.exchanges.back();
+  later.request.id = "b";
+  later.request.sent = At(2500);
+  later.outcome.ended = At(2900);
+  fixture.records.runs.push_back({"b", "large", "b-0", At(2850), false});
+  CHECK(fixture.FirstViolation().empty());
+  later.request.sent = At(2800);
+  CHECK(fixture.FirstViolation() == "leaving");
+  SECTION("not at another process of the gateway") {
+    later.request.boot = 2;
+    CHECK(fixture.FirstViolation().empty());
+  }
+}
+
+TEST_CASE("More than two requests in a server's pause are reported", "[soak]") {
+  Fixture fixture;
+  fixture.records.runs.clear();
+  fixture.records.exchanges.clear();
+  fixture.records.paused_periods = {{"b-0", At(0), At(3000)}};
+  for (const int sent : {10, 20, 400, 700, 900}) {
+    Exchange exchange;
+    exchange.request = {std::to_string(sent),
+                        Kind::kIdempotent,
+                        "large",
+                        0,
+                        1,
+                        At(sent),
+                        milliseconds(3000),
+                        0,
+                        0};
+    exchange.outcome = {At(sent + 20), 503, true, false, true, 0};
+    fixture.records.exchanges.push_back(exchange);
+    fixture.records.turned_away.push_back(
+        {std::to_string(sent), "large", "b-0", At(sent + 5), false});
+  }
+  CHECK(fixture.FirstViolation().empty());
+  fixture.records.turned_away[2].started = At(600);
+  CHECK(fixture.FirstViolation() == "pause");
+}
