Read heartbeats and the registry less often in a large fleet

Cause: every instance read the rows of all instances every 2 s, so the fleet's reads grow as the square of its size: at 295 rows of about 200 bytes, some 8 MB a second (computed). Only the first page was read: above 500 rows the count, and every share by it, would be wrong. The feed of the registry paused for 40 ms whatever the fleet's size. Change: heartbeats are written every 2 s as before and read every 25 ms for each instance (7.4 s at 295, unchanged up to 80), page by page. The feeds of registry and reports pause for 1 ms for each instance, 40 to 400 ms.

--- a/src/dandelionmill/gateway/fleet_members.cc
+++ b/src/dandelionmill/gateway/fleet_members.cc
@@ -52,7 +52,17 @@
   return {kTable, "", own_.instance};
 }
 
-void FleetMembers::Tick() {
+std::chrono::milliseconds FleetMembers::ReadInterval() const {
+  return std::max(kHeartbeatInterval, count_ * kReadIntervalPerInstance);
+}
+
+bool FleetMembers::IsReadDue() const {
+  // A tick may come a little early.
+  return std::chrono::steady_clock::now() - read_begun_at_ >=
+         ReadInterval() - kHeartbeatInterval / 2;
+}
+
+void FleetMembers::Tick(bool reads) {
   if (is_call_in_progress_ || is_deregistered_)
     return;
   is_call_in_progress_ = true;
@@ -65,34 +75,53 @@
   storage::RowChange change;
   change.puts.push_back({OwnKey(), row.dump()});
   table_.Commit(std::move(change), kCallTimeout,
-                [this](storage::TableResponse) {
+                [this, reads](storage::TableResponse) {
                   if (is_deregistered_)
                     return;
                   // The outcome is ignored: the read shows whether the store is
                   // reachable, and the next tick writes the heartbeat again.
-                  Read();
+                  if (!reads) {
+                    is_call_in_progress_ = false;
+                    return;
+                  }
+                  read_begun_at_ = std::chrono::steady_clock::now();
+                  Read("", {});
                 });
 }
 
-void FleetMembers::Read() {
-  table_.Read(kTable, "", "", kCallTimeout,
-              [this](storage::TableResponse answer) {
-                is_call_in_progress_ = false;
-                const base::MonoTime now = std::chrono::steady_clock::now();
-                const bool is_older = answer.era && era_ && *answer.era < *era_;
-                if (answer.outcome != storage::CallOutcome::kDone || is_older)
-                  return;
-                Observe(answer, now);
-                Report(answer.rows.size(), now);
-              });
+void FleetMembers::Read(const std::string& from_key,
+                        std::vector<storage::VersionedRow> earlier) {
+  table_.Read(
+      kTable, "", from_key, kCallTimeout,
+      [this,
+       earlier = std::move(earlier)](storage::TableResponse answer) mutable {
+        const bool is_older = answer.era && era_ && *answer.era < *era_;
+        if (answer.outcome != storage::CallOutcome::kDone || is_older) {
+          is_call_in_progress_ = false;
+          return;
+        }
+        // A later page begins with the last row of the one before.
+        if (!earlier.empty())
+          earlier.pop_back();
+        const bool has_progress = answer.rows.size() > 1;
+        earlier.insert(earlier.end(), answer.rows.begin(), answer.rows.end());
+        if (answer.has_more && has_progress) {
+          Read(answer.rows.back().key.key, std::move(earlier));
+          return;
+        }
+        is_call_in_progress_ = false;
+        answer.rows = std::move(earlier);
+        const base::MonoTime now = std::chrono::steady_clock::now();
+        Observe(answer, now);
+        Report(answer.rows.size(), now);
+      });
 }
 
 void FleetMembers::Observe(const storage::TableResponse& answer,
                            base::MonoTime now) {
   // No instance could write while the store was unreachable, so that time does
   // not count against them.
-  if (last_read_ != base::MonoTime() &&
-      now - last_read_ > 2 * kHeartbeatInterval) {
+  if (last_read_ != base::MonoTime() && now - last_read_ > 2 * ReadInterval()) {
     for (auto& [instance, heartbeat] : observed_)
       heartbeat.changed_at += now - last_read_;
   }
--- a/src/dandelionmill/gateway/fleet_members.h
+++ b/src/dandelionmill/gateway/fleet_members.h
@@ -26,6 +26,10 @@
   // An instance without a new heartbeat for this long is not counted: three
   // intervals and the time that one write may take.
   static constexpr std::chrono::milliseconds kMemberTimeout{7000};
+  // The rows are read this often for each instance of a fleet in which that is
+  // longer than kHeartbeatInterval, so that the bytes that an instance reads do
+  // not grow with the fleet.
+  static constexpr std::chrono::milliseconds kReadIntervalPerInstance{25};
   // How long after a restore the fleet does not count as settled without an
   // instance that lived before: longer than the partitions between an instance
   // and the store that users reported.
@@ -64,9 +68,11 @@
                Listener listener);
 
   // Commands.
-  // Writes a heartbeat and reads those of the other instances. Call every
-  // kHeartbeatInterval.
-  void Tick();
+  // Writes a heartbeat, and reads those of the other instances if they are due.
+  // Call every kHeartbeatInterval.
+  void Tick() { Tick(IsReadDue()); }
+  // Writes a heartbeat and reads those of the other instances.
+  void TickAndRead() { Tick(true); }
   // Deletes the heartbeat of this instance and stops. `done` runs whether or
   // not that succeeded.
   void Deregister(std::function<void()> done);
@@ -88,7 +94,12 @@
     base::MonoTime awaited_until{};
   };
 
-  void Read();
+  void Tick(bool reads);
+  bool IsReadDue() const;
+  std::chrono::milliseconds ReadInterval() const;
+  // Reads the rows from `from_key` on, page by page, after those in `earlier`.
+  void Read(const std::string& from_key,
+            std::vector<storage::VersionedRow> earlier);
   // Updates the observed heartbeats.
   void Observe(const storage::TableResponse& answer, base::MonoTime now);
   void Report(std::size_t listed, base::MonoTime now);
@@ -102,6 +113,7 @@
   const std::function<State()> state_;
   const Listener listener_;
   std::map<std::string, ObservedHeartbeat> observed_;
+  base::MonoTime read_begun_at_{};
   base::MonoTime last_read_{};
   std::optional<std::uint64_t> era_;
   bool is_call_in_progress_ = false;
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -20,6 +20,10 @@
 constexpr milliseconds kTickInterval{250};
 constexpr milliseconds kPrepaidTickInterval = prepaid::Ledger::kRowValidity / 2;
 constexpr milliseconds kPoolCleanupInterval{1000};
+// Pause between reads of the registry's and the reports' changes, for each
+// instance of the fleet, and the longest.
+constexpr milliseconds kCoalesceDelayPerInstance{1};
+constexpr milliseconds kMaxCoalesceDelay{400};
 // Interval of heartbeats while no prepaid tokens may be drawn since the store
 // was restored.
 constexpr milliseconds kFleetSettleInterval{500};
@@ -211,7 +215,7 @@
                     [this](base::MonoTime) { fleet_members_.Tick(); });
   timers_.Subscribe(kFleetSettleInterval, [this](base::MonoTime) {
     if (token_pool_.is_waiting_for_fleet())
-      fleet_members_.Tick();
+      fleet_members_.TickAndRead();
   });
   timers_.Subscribe(StreamRecords::kLifetime, [this](base::MonoTime) {
     context_.stream_records.DeleteOldRows();
@@ -375,6 +379,13 @@
 void Gateway::OnInstances(FleetMembers::View view) {
   context_.instance_count = view.count;
   context_.stream_records.SetInstanceCount(view.count);
+  // Backend servers write their entries all the time. The rule for departures
+  // leaves seconds, so a large fleet reads more changes in each call.
+  const milliseconds coalesce_delay =
+      std::clamp(view.count * kCoalesceDelayPerInstance,
+                 TableFollower::kCoalesceDelay, kMaxCoalesceDelay);
+  backend_follower_.SetCoalesceDelay(coalesce_delay);
+  crash_follower_.SetCoalesceDelay(coalesce_delay);
   context_.config_confirmation.OnPeerVersion(view.newest_config_version);
   if (view.settled_era)
     token_pool_.SetFleetSettledEra(*view.settled_era);
--- a/src/dandelionmill/gateway/table_follower.cc
+++ b/src/dandelionmill/gateway/table_follower.cc
@@ -14,10 +14,6 @@
 // platform's stated response time, and the round trip between regions.
 constexpr std::chrono::milliseconds kAnswerTimeout{600};
 
-// Delay after an answer with changes, so that a series of changes is read in
-// one call.
-constexpr std::chrono::milliseconds kCoalesceDelay{40};
-
 // Changes up to this size are always followed; reading the partition saves
 // nothing below it.
 constexpr std::size_t kMinFeedBytes = 64 << 10;
@@ -198,7 +194,7 @@
   if (answer.rows.empty())
     Follow();
   else
-    ScheduleAfter(kCoalesceDelay, &TableFollower::Follow);
+    ScheduleAfter(coalesce_delay_, &TableFollower::Follow);
 }
 
 void TableFollower::OnFailure(const std::string& reason) {
--- a/src/dandelionmill/gateway/table_follower.h
+++ b/src/dandelionmill/gateway/table_follower.h
@@ -25,6 +25,9 @@
 // from an earlier one, so the partition is read again in the new era.
 class TableFollower {
  public:
+  // The pause after an answer with changes if no other is set.
+  static constexpr std::chrono::milliseconds kCoalesceDelay{40};
+
   // Longest time between two reports of a table that stays unreachable.
   static constexpr std::chrono::milliseconds kFailureReportInterval{2000};
 
@@ -100,6 +103,11 @@
   // Commands.
   void Start();
   void Stop();
+  // Sets the pause after an answer with changes, in which a series of them
+  // comes together.
+  void SetCoalesceDelay(std::chrono::milliseconds delay) {
+    coalesce_delay_ = delay;
+  }
 
   // Queries.
   bool is_reachable() const { return is_reachable_; }
@@ -138,6 +146,7 @@
   boost::asio::steady_timer timer_;
   std::uint64_t version_ = 0;
   bool has_snapshot_ = false;
+  std::chrono::milliseconds coalesce_delay_ = kCoalesceDelay;
   bool is_reachable_ = true;
   bool is_stopped_ = false;
   int failed_calls_ = 0;
--- a/tests/unit/gateway/fleet_members_test.cc
+++ b/tests/unit/gateway/fleet_members_test.cc
@@ -28,7 +28,7 @@
                        }};
 
   void Tick() {
-    members.Tick();
+    members.TickAndRead();
     loop.restart();
     loop.run();
   }
@@ -113,3 +113,36 @@
   put(R"(,"era":1)");
   CHECK(fixture.settled_era == 1u);
 }
+
+// Guards against reads that grow as the square of the fleet.
+TEST_CASE("The bytes that an instance reads do not grow with the fleet",
+          "[gateway]") {
+  const int instances = GENERATE(30, 300, 1000);
+  Fixture fixture;
+  for (int i = 2; i <= instances; ++i)
+    fixture.PutHeartbeat("front-" + std::to_string(i), 7000 + i);
+  fixture.Tick();
+  REQUIRE(fixture.count == instances);
+  const auto interval = std::max<std::chrono::milliseconds>(
+      FleetMembers::kHeartbeatInterval,
+      instances * FleetMembers::kReadIntervalPerInstance);
+  const double rows_per_s =
+      instances / std::chrono::duration<double>(interval).count();
+  CHECK(rows_per_s <= 40);
+  // The next heartbeats come without a read.
+  const int reads = fixture.table.reads();
+  fixture.members.Tick();
+  fixture.loop.restart();
+  fixture.loop.run();
+  CHECK(fixture.table.reads() == reads);
+}
+
+TEST_CASE("A fleet of more than one page is counted whole", "[gateway]") {
+  Fixture fixture;
+  fixture.table.SetPageRows(100);
+  for (int i = 2; i <= 350; ++i)
+    fixture.PutHeartbeat("front-" + std::to_string(i), 7000 + i);
+  fixture.Tick();
+  CHECK(fixture.count == 350);
+  CHECK(fixture.others.size() == 349);
+}
