--- a/tests/soak/invariants.cc
+++ b/tests/soak/invariants.cc
@@ -353,9 +353,10 @@
       }
       for (auto& [process, times] : arrivals) {
         std::sort(times.begin(), times.end());
-        const auto late = static_cast<std::size_t>(std::count_if(
-            times.begin(), times.end(),
-            [&](Time at) { return at > times.front() + kDeliverySlack; }));
+        const Time pause_known = times.front() + kDeliverySlack;
+        const auto late = static_cast<std::size_t>(
+            std::count_if(times.begin(), times.end(),
+                          [&](Time at) { return at > pause_known; }));
         if (late > kMaxRequests &&
             !IsDisturbed({Component::kGateway}, process.first, times.front(),
                          times.back()))
