Send no request on whose caller has left unnoticed; reject at once when far overloaded

Cause: on a full instance the end of a caller's connection waits in the event loop behind other work, and a request with an idle connection to its server is sent on in the same handler. Rejections waited until the balancer had noticed, and until then a full processor served nobody in time. Change: before a request is sent, the caller's socket is asked without waiting whether it has ended. Rejection begins with the overload.

--- a/src/dandelionmill/gateway/caller_session.cc
+++ b/src/dandelionmill/gateway/caller_session.cc
@@ -1,9 +1,12 @@
 #include "dandelionmill/gateway/caller_session.h"
 
+#include <sys/socket.h>
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <cerrno>
 #include <utility>
 
 #include "dandelionmill/log/event.h"
@@ -260,6 +263,13 @@
   asio::post(context_.loop, [self = shared_from_this()] { self->Close(); });
 }
 
+bool CallerSession::HasCallerLeft() {
+  char byte = 0;
+  const ssize_t count =
+      ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void CallerSession::CloseIfIdle() {
   if (!exchange_ && !has_request_started_ && !is_writing_)
     Close();
--- a/src/dandelionmill/gateway/caller_session.h
+++ b/src/dandelionmill/gateway/caller_session.h
@@ -46,6 +46,8 @@
     return queued_.size() + writing_.size();
   }
 
+  bool HasCallerLeft() override;
+
   void PrepareNextRequest();
   void Receive();
   void OnReceived(boost::system::error_code error, std::size_t count);
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -456,6 +456,14 @@
 }
 
 void Exchange::SendRequest(BackendConnectionPtr connection) {
+  // On a busy instance the end of the caller's connection may wait behind other
+  // work.
+  if (response_writer_->HasCallerLeft()) {
+    context_.pool.PutIdle(*backend_, std::move(connection),
+                          steady_clock::now());
+    OnCallerDisconnected();
+    return;
+  }
   context_.metrics.OnAttempt(attempt_count_ == 0 ? "first" : "again");
   ++attempt_count_;
   sent_at_ = steady_clock::now();
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -37,6 +37,9 @@
   virtual void Abort() = 0;
   // Bytes that are not written to the socket yet.
   virtual std::size_t queued_bytes() const = 0;
+  // Whether the caller has closed the connection, also if that was not read
+  // yet.
+  virtual bool HasCallerLeft() = 0;
 };
 
 // Handles one request of a caller, from the complete request to the end of the
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -59,9 +59,7 @@
 
   // Whether a new request should be rejected, so that its retry reaches an
   // instance with room. Random.
-  bool ShouldRejectRequest() {
-    return IsDrawn(overload.RejectShare(std::chrono::steady_clock::now()));
-  }
+  bool ShouldRejectRequest() { return IsDrawn(overload.RejectShare()); }
 
   // Returns true with the probability `share`.
   bool IsDrawn(double share) {
--- a/src/dandelionmill/gateway/overload_detector.cc
+++ b/src/dandelionmill/gateway/overload_detector.cc
@@ -82,11 +82,7 @@
     const double use = bits / elapsed.count() / link_bits_per_s_;
     link_use_ += kLinkUseSmoothing * (use - link_use_);
   }
-  connect_delay_ = connect_count_ >= kMinConnects
-                       ? fastest_connect_
-                       : std::chrono::duration_cast<std::chrono::milliseconds>(
-                             kConnectDelayDecay * connect_delay_);
-  connect_count_ = 0;
+  MeasureConnectDelay();
   consecutive_late_ticks_ =
       elapsed > period + kMinTickDelay ? consecutive_late_ticks_ + 1 : 0;
   const double load = Load();
@@ -101,6 +97,18 @@
   }
 }
 
+void OverloadDetector::MeasureConnectDelay() {
+  if (connect_count_ < kMinConnects) {
+    connect_delay_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+        kConnectDelayDecay * connect_delay_);
+  } else {
+    // A few connections of one tick may all be to servers that went dark.
+    connect_delay_ = std::min(fastest_connect_, fastest_of_previous_tick_);
+    fastest_of_previous_tick_ = fastest_connect_;
+  }
+  connect_count_ = 0;
+}
+
 void OverloadDetector::BeginOverload(base::MonoTime now) {
   const bool is_relapse = overload_ended_at_ != base::MonoTime() &&
                           now - overload_ended_at_ < kRelapseTime;
@@ -130,9 +138,9 @@
              : std::min(kMaxCloseShare, 1 - 1 / load);
 }
 
-double OverloadDetector::RejectShare(base::MonoTime now) const {
+double OverloadDetector::RejectShare() const {
   const double load = Load();
-  return load <= kRejectLoad || !IsOutOfRotation(now)
+  return load <= kRejectLoad || !is_overloaded_
              ? 0
              : std::min(kMaxRejectShare, 1 - kRejectLoad / load);
 }
--- a/src/dandelionmill/gateway/overload_detector.h
+++ b/src/dandelionmill/gateway/overload_detector.h
@@ -44,9 +44,10 @@
   // closed, from 0 to 1. 0 until the balancer has noticed that the instance
   // takes no new connections, since the caller would come back.
   double CloseShare(base::MonoTime now) const;
-  // Share of the new requests that should be rejected, from 0 to 1, so that
-  // their retries reach other instances. 0 as long as CloseShare.
-  double RejectShare(base::MonoTime now) const;
+  // Share of the new requests that should be rejected at once, from 0 to 1: the
+  // others would wait for them, and their callers give up. Their retries reach
+  // other instances once the balancer has noticed.
+  double RejectShare() const;
   // Utilization of the link in the busier direction, as an exponential moving
   // average, and what Tick was given last, both from 0 to 1.
   double link_use() const { return link_use_; }
@@ -60,6 +61,7 @@
   // Whether the balancer gives new connections to other instances by now.
   bool IsOutOfRotation(base::MonoTime now) const;
   void BeginOverload(base::MonoTime now);
+  void MeasureConnectDelay();
 
   const double link_bits_per_s_;
   std::uint64_t received_bytes_ = 0;
@@ -71,6 +73,8 @@
   // Connections since the last tick, and the time that the fastest took.
   int connect_count_ = 0;
   std::chrono::milliseconds fastest_connect_{0};
+  // The same of the last tick before with enough connections.
+  std::chrono::milliseconds fastest_of_previous_tick_{0};
   int consecutive_late_ticks_ = 0;
   bool is_overloaded_ = false;
   base::MonoTime overloaded_since_{};
--- a/tests/sessions/gateway/bad_input_test.cc
+++ b/tests/sessions/gateway/bad_input_test.cc
@@ -101,6 +101,26 @@
     CHECK(fleet.Send("/once/").status == 200);
 }
 
+// Guards against work for callers that gave up while a full instance had not
+// read their requests.
+TEST_CASE("A request whose caller has left in the meantime reaches no engine",
+          "[gateway]") {
+  GatewayFixture fleet;
+  ScriptedEngine& engine = fleet.AddEngine("i-1", WholeAnswer);
+  // Leaves an idle connection, on which a request is sent at once.
+  REQUIRE(fleet.Send("/once/").status == 200);
+  fleet.Block(milliseconds(300));
+  {
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::socket socket(loop);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), kCallerPort});
+    const std::string text = kHead + "Content-Length: 0\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(text));
+  }
+  std::this_thread::sleep_for(milliseconds(600));
+  CHECK(engine.requests().size() == 1);
+}
+
 TEST_CASE("A caller's leaving is passed on to the engine", "[gateway]") {
   GatewayFixture fleet;
   ScriptedEngine& engine = fleet.AddEngine("i-1", [](const Request& request) {
--- a/tests/sessions/gateway/gateway_fixture.cc
+++ b/tests/sessions/gateway/gateway_fixture.cc
@@ -61,6 +61,10 @@
   REQUIRE(begun->get_future().wait_for(kPatience) == std::future_status::ready);
 }
 
+void GatewayFixture::Block(milliseconds length) {
+  asio::post(*loop_, [length] { std::this_thread::sleep_for(length); });
+}
+
 bool GatewayFixture::IsReady() {
   asio::io_context loop;
   boost::beast::tcp_stream stream(loop);
--- a/tests/sessions/gateway/gateway_fixture.h
+++ b/tests/sessions/gateway/gateway_fixture.h
@@ -87,6 +87,8 @@
   void Stop();
   // Starts the shutdown of the gateway and returns once it has begun.
   void Shutdown();
+  // Blocks the gateway's event loop for `length`, from now on.
+  void Block(milliseconds length);
   bool IsReady();
   // Registers an engine that answers as the script says.
   ScriptedEngine& AddEngine(const std::string& id,
