Write the row of an instance without prepaid tokens seldom

Cause: every instance stored its row each 250 ms, also one with nothing to use: at 295 instances and 40 accounts at least 255 of them, four calls a second each. Change: while nothing is left to use or to recover, and nothing waits, the row is written every 2 s. A restore of the store, seen by the follower of the configuration, writes it at once, so that the fleet does not wait for it.

--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -108,6 +108,7 @@
                           context_.config_confirmation.OnStoreRestored(
                               base::BootClock::now());
                         }}),
+                          token_pool_.CheckStore();
       backend_follower_(
           loop,
           store_,
--- a/src/dandelionmill/prepaid/token_pool.cc
+++ b/src/dandelionmill/prepaid/token_pool.cc
@@ -133,14 +133,39 @@
     return;
   contributions_.Expire(EstimateStoreTime());
   ReadMissingTotals();
-  CommitProposal(
+  Ledger::Proposal proposal =
       is_returning_
           ? ledger_.ProposeReturn(EstimateStoreTime())
           : ledger_.Propose(
                 AccountViews(), EstimateStoreTime(), base::BootClock::now(),
                 consecutive_conflicts_ >= kConflictsUntilSingleAccount
                     ? std::optional(consecutive_conflicts_)
-                    : std::nullopt));
+                    : std::nullopt);
+  if (!IsIdle(proposal))
+    CommitProposal(std::move(proposal));
+}
+
+void TokenPool::CheckStore() {
+  row_stored_at_ = base::MonoTime();
+  Tick();
+}
+
+bool TokenPool::IsIdle(const Ledger::Proposal& proposal) const {
+  if (!proposal.moves.empty() || !waiters_.empty() || !in_doubt_.empty() ||
+      last_commit_failed_ || !predecessor_.unaccounted.empty() ||
+      !contributions_.AccountsBefore(era_.value_or(0)).empty())
+    return false;
+  // A row that leaves something to recover has to be renewed.
+  const bool is_stored = std::equal(
+      stored_shares_.begin(), stored_shares_.end(), proposal.row.shares.begin(),
+      proposal.row.shares.end(), [](const auto& stored, const auto& proposed) {
+        return stored.first == proposed.first &&
+               stored.second.drawn == proposed.second.drawn &&
+               stored.second.committed == stored.second.drawn &&
+               proposed.second.committed == proposed.second.drawn;
+      });
+  return is_stored &&
+         std::chrono::steady_clock::now() - row_stored_at_ < kIdleRowInterval;
 }
 
 TokenPool::Totals TokenPool::TotalsAfter(
@@ -262,6 +287,8 @@
   for (Waiter& waiter : waiters_)
     ++waiter.rows_stored;
   // The version of the holder row has changed, so the other proposals in doubt
+  stored_shares_ = proposal.row.shares;
+  row_stored_at_ = std::chrono::steady_clock::now();
   // can no longer be stored.
   for (const Ledger::Proposal& other : in_doubt_) {
     if (other.row.sequence != proposal.row.sequence)
--- a/src/dandelionmill/prepaid/token_pool.h
+++ b/src/dandelionmill/prepaid/token_pool.h
@@ -39,6 +39,10 @@
 // knows, and none are drawn until all instances have done so.
 class TokenPool {
  public:
+  // How often a process without tokens writes its row, which shows whether the
+  // store answers and was restored.
+  static constexpr std::chrono::milliseconds kIdleRowInterval{2000};
+
   using Handler = std::function<void(ReserveOutcome)>;
   // Result of a loan request to another instance: all tokens or none.
   struct Loan {
@@ -77,8 +81,12 @@
   // accounts.
   void SetPeers(Peers peers) { peers_ = std::move(peers); }
   // Stores the next holder row and moves tokens. Call twice in each
-  // Ledger::kRowValidity.
+  // Ledger::kRowValidity. While the process has no tokens left to use, the row
+  // is stored only every kIdleRowInterval.
   void Tick();
+  // The store may have been restored: writes a row in any case, since the
+  // answer shows it.
+  void CheckStore();
   // Reserves tokens if they are available now. Always succeeds for accounts
   // without a limit.
   bool TryReserve(const base::AccountId& account, base::Tokens tokens);
@@ -171,6 +179,9 @@
   // The totals that a transaction writes.
   using Totals = std::map<base::AccountId, AccountRow>;
 
+  // Whether the stored rows say all that `proposal` does, and nothing waits for
+  // the store.
+  bool IsIdle(const Ledger::Proposal& proposal) const;
   void CommitProposal(Ledger::Proposal proposal);
   // Returns the totals after `proposal`, and those that are completed with it.
   Totals TotalsAfter(const Ledger::Proposal& proposal) const;
@@ -258,6 +269,9 @@
 
   bool is_committing_ = false;
   bool tick_pending_ = false;
+  // The shares of the last stored row, and when it was stored.
+  std::map<base::AccountId, HolderShare> stored_shares_;
+  base::MonoTime row_stored_at_{};
   bool last_commit_failed_ = false;
   int consecutive_conflicts_ = 0;
   // Until then no tokens are drawn from accounts that other instances own.
--- a/tests/unit/platform/store_client_test.cc
+++ b/tests/unit/platform/store_client_test.cc
@@ -160,3 +160,30 @@
     }
   }
 }
+
+TEST_CASE("Calls and their bytes are counted by table", "[platform]") {
+  ScriptedEngine store(
+      kPort, [](const ScriptedEngine::Request&) { return AnswerWith(""); });
+  boost::asio::io_context loop;
+  StoreClient client(loop, {"127.0.0.1", kPort});
+  int answers = 0;
+  const auto count = [&](const TableResponse&) {
+    if (++answers == 3)
+      loop.stop();
+  };
+  client.Read("t", "", "", kTimeout, count);
+  client.ReadRow({"t", "", "k"}, kTimeout, count);
+  dandelionmill::storage::RowChange change;
+  change.puts.push_back({{"other", "", "k"}, "value"});
+  client.Commit(std::move(change), kTimeout, count);
+  loop.run_for(std::chrono::seconds(20));
+  REQUIRE(client.use_by_table().size() == 2);
+  const StoreClient::TableUse& reads = client.use_by_table().at("t");
+  CHECK(reads.calls == 2);
+  CHECK(reads.sent_bytes == 0);
+  CHECK(reads.received_bytes == 2 * kRow.size());
+  const StoreClient::TableUse& commits = client.use_by_table().at("other");
+  CHECK(commits.calls == 1);
+  CHECK(commits.sent_bytes > 0);
+  CHECK(commits.received_bytes == kRow.size());
+}
--- a/tests/unit/prepaid/token_pool_test.cc
+++ b/tests/unit/prepaid/token_pool_test.cc
@@ -31,6 +31,12 @@
   loop.run_for(time);
 }
 
+// The same, and lets the time pass if there are no more events.
+void Pass(boost::asio::io_context& loop, milliseconds time) {
+  const auto guard = boost::asio::make_work_guard(loop);
+  RunFor(loop, time);
+}
+
 struct Fixture {
   boost::asio::io_context loop;
   FakeTable table{loop};
@@ -469,3 +475,72 @@
   }
   CHECK(outcome == ReserveOutcome::kReserved);
 }
+
+TEST_CASE("A process without tokens seldom writes its row", "[prepaid]") {
+  Fixture fixture;
+  TokenPool pool(fixture.loop, fixture.table, "front-2", "p1");
+  pool.SetPeers(
+      {[](const AccountId&) { return false; },
+       [](const AccountId&, Tokens, std::function<void(TokenPool::Loan)>) {},
+       nullptr});
+  pool.SetAccounts({{kAccount, 100000}});
+  RunFor(fixture.loop, milliseconds(20));
+  const auto first = fixture.table.version();
+  REQUIRE(first > 0);
+  const auto tick_for = [&](milliseconds time) {
+    for (milliseconds at{0}; at < time; at += milliseconds(50)) {
+      pool.Tick();
+      Pass(fixture.loop, milliseconds(50));
+    }
+  };
+  tick_for(milliseconds(500));
+  CHECK(fixture.table.version() == first);
+  SECTION("but often enough to see whether the store answers") {
+    tick_for(TokenPool::kIdleRowInterval);
+    CHECK(fixture.table.version() == first + 1);
+  }
+  SECTION("and at once when the store may have been restored") {
+    pool.CheckStore();
+    RunFor(fixture.loop, milliseconds(20));
+    CHECK(fixture.table.version() == first + 1);
+  }
+}
+
+TEST_CASE("A process with tokens renews its row with each tick", "[prepaid]") {
+  Fixture fixture;
+  auto pool = fixture.Start("p1");
+  REQUIRE(fixture.Reserve(*pool, 20000) == ReserveOutcome::kReserved);
+  REQUIRE(pool->ledger().Held(kAccount) > 0);
+  for (int i = 0; i < 3; ++i) {
+    const auto before = fixture.table.version();
+    pool->Tick();
+    RunFor(fixture.loop, milliseconds(20));
+    CHECK(fixture.table.version() == before + 1);
+  }
+}
+
+TEST_CASE("Tokens used after the last row are not recovered", "[prepaid]") {
+  Fixture fixture;
+  auto pool = fixture.Start("p1", 20000);
+  REQUIRE(fixture.Reserve(*pool, 15000) == ReserveOutcome::kReserved);
+  pool->Tick();
+  RunFor(fixture.loop, milliseconds(20));
+  // The row expires, so that more may be used than it says.
+  fixture.table.FailAll(CallOutcome::kNotPerformed);
+  pool->Tick();
+  Pass(fixture.loop, milliseconds(1500));
+  Tokens used = 15000;
+  while (pool->TryReserve(kAccount, 10))
+    used += 10;
+  REQUIRE(used > 15000);
+  fixture.table.FailAll(std::nullopt);
+  for (int i = 0; i < 3; ++i) {
+    pool->Tick();
+    RunFor(fixture.loop, milliseconds(20));
+  }
+  fixture.table.DropCalls();
+  auto second = fixture.Start("p2", 20000);
+  second->Tick();
+  RunFor(fixture.loop, milliseconds(20));
+  CHECK(second->ledger().Held(kAccount) + used <= 20000);
+}
