Count and log the calls to the store by table

Change: the client counts calls and bytes by table; a line store_use every 10 s and the metrics dandelion_store_calls_total and dandelion_store_bytes_total.

--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -20,6 +20,7 @@
 constexpr milliseconds kTickInterval{250};
 constexpr milliseconds kPrepaidTickInterval = prepaid::Ledger::kRowValidity / 2;
 constexpr milliseconds kPoolCleanupInterval{1000};
+constexpr milliseconds kStoreUseInterval{10000};
 // Pause between reads of the registry's and the reports' changes, for each
 // instance of the fleet, and the longest.
 constexpr milliseconds kCoalesceDelayPerInstance{1};
@@ -107,8 +108,8 @@
                         [this](const TableFollower::Restore&) {
                           context_.config_confirmation.OnStoreRestored(
                               base::BootClock::now());
-                        }}),
                           token_pool_.CheckStore();
+                        }}),
       backend_follower_(
           loop,
           store_,
@@ -224,6 +225,8 @@
   timers_.Subscribe(kPoolCleanupInterval, [this](base::MonoTime now) {
     context_.pool.CloseExpired(now);
   });
+  timers_.Subscribe(kStoreUseInterval,
+                    [this](base::MonoTime) { ReportStoreUse(); });
   return status;
 }
 
@@ -365,6 +368,24 @@
       .With("reason", status.reason);
 }
 
+void Gateway::ReportStoreUse() {
+  for (const auto& [table, use] : store_.use_by_table()) {
+    platform::StoreClient::TableUse& last = reported_store_use_[table];
+    if (use.calls == last.calls)
+      continue;
+    log::Event(log::Level::kInfo, "store_use")
+        .With("table", table)
+        .With("calls", use.calls - last.calls)
+        .With("sent_bytes", use.sent_bytes - last.sent_bytes)
+        .With("received_bytes", use.received_bytes - last.received_bytes)
+        .With("over_ms", kStoreUseInterval);
+    context_.metrics.OnStoreUse(table, use.calls - last.calls,
+                                use.sent_bytes - last.sent_bytes +
+                                    use.received_bytes - last.received_bytes);
+    last = use;
+  }
+}
+
 void Gateway::LogCatchUp(const char* table,
                          const TableFollower::CatchUp& catch_up) {
   log::Event(log::Level::kInfo,
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -60,6 +60,9 @@
   void OnBackendRows(const std::vector<storage::VersionedRow>& rows);
   void LogCatchUp(const char* table, const TableFollower::CatchUp& catch_up);
   void LogStoreStatus(const char* table, const TableFollower::Status& status);
+  // Logs the calls to the store since the last time, by table, and updates the
+  // metrics.
+  void ReportStoreUse();
   void OnInstances(FleetMembers::View view);
   // Records the software versions that the registry lists.
   void ObserveVersions(base::MonoTime now);
@@ -92,6 +95,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   timer::LoopTimerService timers_;
+  // What ReportStoreUse reported last.
+  std::map<std::string, platform::StoreClient::TableUse> reported_store_use_;
   base::MonoTime shutdown_started_at_{};
   bool is_returning_tokens_ = false;
   std::function<void()> on_shutdown_complete_;
--- a/src/dandelionmill/gateway/gateway_metrics.cc
+++ b/src/dandelionmill/gateway/gateway_metrics.cc
@@ -58,6 +58,19 @@
       .Add();
 }
 
+void GatewayMetrics::OnStoreUse(const std::string& table,
+                                std::uint64_t calls,
+                                std::uint64_t bytes) {
+  const std::string labels = "table=\"" + table + "\"";
+  registry_
+      .GetCounter("dandelion_store_calls_total", "Calls to the store.", labels)
+      .Add(static_cast<std::int64_t>(calls));
+  registry_
+      .GetCounter("dandelion_store_bytes_total",
+                  "Bytes of the bodies of calls to the store.", labels)
+      .Add(static_cast<std::int64_t>(bytes));
+}
+
 void GatewayMetrics::OnConfigVersion(std::int64_t version) {
   registry_
       .GetGauge("dandelion_config_version",
--- a/src/dandelionmill/gateway/gateway_metrics.h
+++ b/src/dandelionmill/gateway/gateway_metrics.h
@@ -2,6 +2,7 @@
 #define SRC_DANDELIONMILL_GATEWAY_GATEWAY_METRICS_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "dandelionmill/metrics/registry.h"
@@ -32,6 +33,11 @@
               std::chrono::milliseconds config_age,
               std::chrono::milliseconds registry_age);
 
+  // Calls to the store for rows of `table`, and the bytes of their bodies.
+  void OnStoreUse(const std::string& table,
+                  std::uint64_t calls,
+                  std::uint64_t bytes);
+
   // Sets the gauges of one account: prepaid tokens that this instance holds and
   // that are available now, and requests that wait for tokens.
   void OnPrepaid(const std::string& account,
--- a/src/dandelionmill/platform/store_client.cc
+++ b/src/dandelionmill/platform/store_client.cc
@@ -35,6 +35,15 @@
 // Slowest rate, on average over a call, at which a response may arrive.
 constexpr std::size_t kMinBytesPerSecond = 16 << 10;
 
+// Returns the table of the first row of `change`; empty if it has no rows.
+std::string TableOf(const storage::RowChange& change) {
+  if (!change.puts.empty())
+    return change.puts.front().key.table;
+  if (!change.deletes.empty())
+    return change.deletes.front().table;
+  return change.expected.empty() ? "" : change.expected.front().key.table;
+}
+
 }  // namespace
 
 struct StoreClient::Connection {
@@ -282,7 +291,7 @@
 void StoreClient::Commit(storage::RowChange change,
                          std::chrono::milliseconds timeout,
                          Handler handler) {
-  StartCall(true, kCommitTarget, EncodeChange(change), timeout,
+  StartCall(true, TableOf(change), kCommitTarget, EncodeChange(change), timeout,
             kMaxResponseBytes, std::move(handler));
 }
 
@@ -291,14 +300,15 @@
                        const std::string& from_key,
                        std::chrono::milliseconds timeout,
                        Handler handler) {
-  StartCall(false, ReadTarget(table, part, from_key), "", timeout,
+  StartCall(false, table, ReadTarget(table, part, from_key), "", timeout,
             kMaxResponseBytes, std::move(handler));
 }
 
 void StoreClient::ReadRow(const storage::RowKey& key,
                           std::chrono::milliseconds timeout,
                           Handler handler) {
-  StartCall(false, ReadRowTarget(key), "", timeout, kMaxResponseBytes,
+  StartCall(false, key.table, ReadRowTarget(key), "", timeout,
+            kMaxResponseBytes,
             [wanted = key.key,
              handler = std::move(handler)](storage::TableResponse response) {
               // Without the row, the store returns the next one.
@@ -318,7 +328,7 @@
                          std::chrono::milliseconds timeout,
                          std::size_t max_bytes,
                          Handler handler) {
-  StartCall(false, FollowTarget(table, version, wait), "", timeout,
+  StartCall(false, table, FollowTarget(table, version, wait), "", timeout,
             std::min(max_bytes, kMaxResponseBytes), std::move(handler));
 }
 
@@ -337,14 +347,24 @@
 }
 
 void StoreClient::StartCall(bool is_commit,
+                            const std::string& table,
                             std::string target,
                             std::string body,
                             std::chrono::milliseconds timeout,
                             std::size_t max_bytes,
                             Handler handler) {
   ++calls_;
+  // References to elements of a map stay valid.
+  TableUse& use = use_by_table_[table];
+  ++use.calls;
+  use.sent_bytes += body.size();
+  auto count_and_handle =
+      [&use, handler = std::move(handler)](storage::TableResponse response) {
+        use.received_bytes += response.bytes;
+        handler(std::move(response));
+      };
   std::make_shared<Call>(*this, is_commit, std::move(target), std::move(body),
-                         timeout, max_bytes, std::move(handler))
+                         timeout, max_bytes, std::move(count_and_handle))
       ->Start();
 }
 
--- a/src/dandelionmill/platform/store_client.h
+++ b/src/dandelionmill/platform/store_client.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,14 +44,27 @@
               std::size_t max_bytes,
               Handler handler) override;
 
+  // What the calls for one table have taken since construction.
+  struct TableUse {
+    std::uint64_t calls = 0;
+    // Bytes of bodies, including those of calls that failed.
+    std::uint64_t sent_bytes = 0;
+    std::uint64_t received_bytes = 0;
+  };
+
   // Number of calls started since construction.
   std::uint64_t calls() const { return calls_; }
+  // By table. A commit counts for the table of its first row.
+  const std::map<std::string, TableUse>& use_by_table() const {
+    return use_by_table_;
+  }
 
  private:
   class Call;
   struct Connection;
 
   void StartCall(bool is_commit,
+                 const std::string& table,
                  std::string target,
                  std::string body,
                  std::chrono::milliseconds timeout,
@@ -64,6 +78,7 @@
   const net::Address store_;
   std::vector<std::unique_ptr<Connection>> idle_;
   std::uint64_t calls_ = 0;
+  std::map<std::string, TableUse> use_by_table_;
   // The latest era that a response named, and its newest version.
   std::optional<std::uint64_t> era_;
   std::uint64_t newest_version_ = 0;
