Rank the instances of the fleet once for each account

Cause: each loan of prepaid tokens ranked all instances by hash, in the comparator of a sort: at 295 instances some 4,800 hashes a request. Change: OwnerRanking keeps the order of an account until the instances change. Conclusion: the order, and so the owner, is the same as before.

--- a/src/dandelionmill/peer/borrower.cc
+++ b/src/dandelionmill/peer/borrower.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-#include "dandelionmill/base/digest.h"
 #include "dandelionmill/log/event.h"
 
 namespace dandelionmill::peer {
@@ -13,11 +12,6 @@
 // How long an instance that did not answer is skipped.
 constexpr std::chrono::milliseconds kUnresponsivePeriod{1500};
 
-std::uint64_t RankOf(const base::AccountId& account,
-                     const base::InstanceId& instance) {
-  return base::StableHash(account.value() + "/" + instance.value());
-}
-
 }  // namespace
 
 bool Borrower::IsUnresponsive(const base::InstanceId& id) const {
@@ -27,30 +21,31 @@
 }
 
 bool Borrower::IsOwner(const base::AccountId& account) const {
-  const std::uint64_t own = RankOf(account, self_);
-  return std::none_of(
-      others_.begin(), others_.end(), [&](const Instance& other) {
-        return RankOf(account, other.id) > own && !IsUnresponsive(other.id);
-      });
+  const OwnerRanking::Order& order = ranking_.OrderOf(account);
+  for (std::size_t i = 0; i < order.above_self; ++i) {
+    if (!IsUnresponsive(ranking_.instance(order.others[i]).id))
+      return false;
+  }
+  return true;
 }
 
-std::vector<Instance> Borrower::InRankOrder(
-    const base::AccountId& account) const {
-  std::vector<Instance> order;
-  std::copy_if(
-      others_.begin(), others_.end(), std::back_inserter(order),
-      [this](const Instance& other) { return !IsUnresponsive(other.id); });
-  std::sort(order.begin(), order.end(),
-            [&account](const Instance& a, const Instance& b) {
-              return RankOf(account, a.id) < RankOf(account, b.id);
-            });
-  return order;
+std::vector<Instance> Borrower::HighestRanked(const base::AccountId& account,
+                                              std::size_t count) const {
+  std::vector<Instance> highest;
+  for (const std::size_t index : ranking_.OrderOf(account).others) {
+    if (highest.size() == count)
+      break;
+    if (!IsUnresponsive(ranking_.instance(index).id))
+      highest.push_back(ranking_.instance(index));
+  }
+  std::reverse(highest.begin(), highest.end());
+  return highest;
 }
 
 void Borrower::Give(const base::AccountId& account, base::Tokens tokens) {
-  const std::vector<Instance> order = InRankOrder(account);
-  if (!order.empty())
-    port_.Give(order.back().address, account, tokens);
+  const std::vector<Instance> owner = HighestRanked(account, 1);
+  if (!owner.empty())
+    port_.Give(owner.front().address, account, tokens);
 }
 
 void Borrower::Borrow(const base::AccountId& account,
@@ -60,11 +55,7 @@
   operation->account = account;
   operation->tokens = tokens;
   operation->handler = std::move(handler);
-  operation->candidates = InRankOrder(account);
-  if (operation->candidates.size() > kMaxInstancesAsked)
-    operation->candidates.erase(
-        operation->candidates.begin(),
-        operation->candidates.end() - kMaxInstancesAsked);
+  operation->candidates = HighestRanked(account, kMaxInstancesAsked);
   if (operation->candidates.empty()) {
     boost::asio::post(loop_, [operation] { operation->handler({}); });
     return;
--- a/src/dandelionmill/peer/borrower.h
+++ b/src/dandelionmill/peer/borrower.h
@@ -1,7 +1,7 @@
 #ifndef SRC_DANDELIONMILL_PEER_BORROWER_H_
 #define SRC_DANDELIONMILL_PEER_BORROWER_H_
 
-#include <cstdint>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,15 +11,10 @@
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/net/address.h"
 #include "dandelionmill/peer/lending_port.h"
+#include "dandelionmill/peer/owner_ranking.h"
 
 namespace dandelionmill::peer {
 
-// An instance of the fleet and the address of its lending port.
-struct Instance {
-  base::InstanceId id;
-  net::Address address;
-};
-
 // Determines which instance owns an account and borrows prepaid tokens from it.
 // The owner is the instance with the highest rank by hash (rendezvous hashing);
 // an unresponsive one is skipped for a while. Ownership only saves
@@ -34,12 +29,12 @@
   Borrower(boost::asio::io_context& loop,
            LendingPort& port,
            base::InstanceId self)
-      : loop_(loop), port_(port), self_(std::move(self)) {}
+      : loop_(loop), port_(port), ranking_(std::move(self)) {}
 
   // Commands.
   // Sets the other running instances.
   void SetInstances(std::vector<Instance> others) {
-    others_ = std::move(others);
+    ranking_.SetInstances(std::move(others));
   }
   // Requests tokens from the owner, then from the next in rank if it does not
   // answer or gives nothing. The handler receives the final answer and never
@@ -72,16 +67,16 @@
     LendingPort::LoanHandler handler;
   };
 
-  // Returns the other responsive instances by ascending rank, so that the
-  // preferred one is last.
-  std::vector<Instance> InRankOrder(const base::AccountId& account) const;
+  // Returns up to `count` other responsive instances by ascending rank, so that
+  // the preferred one is last.
+  std::vector<Instance> HighestRanked(const base::AccountId& account,
+                                      std::size_t count) const;
   bool IsUnresponsive(const base::InstanceId& id) const;
   void RequestNext(std::shared_ptr<BorrowOperation> operation);
 
   boost::asio::io_context& loop_;
   LendingPort& port_;
-  const base::InstanceId self_;
-  std::vector<Instance> others_;
+  OwnerRanking ranking_;
   std::map<base::InstanceId, base::MonoTime> unresponsive_until_;
 };
 
