Give back borrowed prepaid tokens that no request uses

Cause: what a request had borrowed and not used stayed at its instance, in no stored row. In a large fleet the remainders add up, and a loss of power loses them. A row also listed 1.2 s of demand as committed, which cannot be recovered, though rows are stored every 250 ms and at once when a burst waits. Change: after 1 s without a reservation the rest goes back to the owner by datagram; a row lists the demand of one interval and one validity (0.75 s).

--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -41,10 +41,11 @@
 // Excess in tokens up to which a return is not worth a transaction.
 constexpr double kMinReturnTokens = 5000;
 
-// Tokens that may be committed before the next row is stored: the demand of a
-// time that covers the interval between rows and the validity of a row, or a
-// multiple of the mean request for accounts with few, large requests.
-constexpr duration<double> kUnlistedDemandTime{1.2};
+// Tokens that may be committed before the next row is stored: the demand of the
+// interval between rows and the validity of a row, or a multiple of the mean
+// request for accounts with few, large requests. A successor cannot recover
+// them; a burst beyond them waits for a row that is stored at once.
+constexpr duration<double> kUnlistedDemandTime = 1.5 * Ledger::kRowValidity;
 constexpr double kUnlistedRequests = 1.5;
 
 // Tokens per second that may be committed after a row has expired: a multiple
@@ -98,6 +99,18 @@
   shares_[account].borrowed += tokens;
 }
 
+base::Tokens Ledger::TakeUnusedBorrowed(const base::AccountId& account,
+                                        std::chrono::milliseconds idle,
+                                        base::BootTime now) {
+  const auto found = shares_.find(account);
+  if (found == shares_.end() || now - found->second.recent_tokens_at < idle)
+    return 0;
+  Share& share = found->second;
+  const base::Tokens unused = share.unused_borrowed();
+  share.borrowed -= unused;
+  return unused;
+}
+
 base::Tokens Ledger::Recover(const HolderRow& predecessor_row,
                              std::chrono::milliseconds store_time) {
   if (predecessor_row.as_of.count() == 0 || store_time.count() == 0)
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -71,6 +71,11 @@
   // Adds tokens received from another instance. They are in no stored row, so a
   // successor cannot recover them.
   void Borrow(const base::AccountId& account, base::Tokens tokens);
+  // Removes the borrowed tokens that are not committed, to be given back, if
+  // nothing was reserved for `idle` before `now`. Returns their number.
+  base::Tokens TakeUnusedBorrowed(const base::AccountId& account,
+                                  std::chrono::milliseconds idle,
+                                  base::BootTime now);
   // Takes over the unused tokens of a terminated process of this instance, at
   // `store_time` by the store's clock. They become usable with the next stored
   // proposal. Returns their number; 0 if a store time is unknown.
--- a/src/dandelionmill/prepaid/token_pool.cc
+++ b/src/dandelionmill/prepaid/token_pool.cc
@@ -40,6 +40,9 @@
 // it at the same time.
 constexpr std::size_t kMaxCompletedTotals = 10;
 
+// Time without a reservation after which borrowed tokens are given back.
+constexpr std::chrono::milliseconds kBorrowedIdleTime{1000};
+
 // Maximum attempts to return the tokens at shutdown.
 constexpr int kMaxReturnAttempts = 12;
 
@@ -125,6 +128,7 @@
 }
 
 void TokenPool::Tick() {
+  GiveBackUnused();
   if (is_committing_) {
     tick_pending_ = true;
     return;
@@ -283,12 +287,12 @@
 void TokenPool::OnProposalStored(const Ledger::Proposal& proposal) {
   consecutive_conflicts_ = 0;
   has_stored_row_ = true;
+  stored_shares_ = proposal.row.shares;
+  row_stored_at_ = std::chrono::steady_clock::now();
   ledger_.OnStored(proposal, base::BootClock::now());
   for (Waiter& waiter : waiters_)
     ++waiter.rows_stored;
   // The version of the holder row has changed, so the other proposals in doubt
-  stored_shares_ = proposal.row.shares;
-  row_stored_at_ = std::chrono::steady_clock::now();
   // can no longer be stored.
   for (const Ledger::Proposal& other : in_doubt_) {
     if (other.row.sequence != proposal.row.sequence)
@@ -583,6 +587,23 @@
   }
 }
 
+void TokenPool::GiveBackUnused() {
+  if (!peers_.give)
+    return;
+  for (const base::AccountId& account : ledger_.Accounts()) {
+    if (IsOwner(account))
+      continue;
+    const base::Tokens tokens = ledger_.TakeUnusedBorrowed(
+        account, kBorrowedIdleTime, base::BootClock::now());
+    if (tokens == 0)
+      continue;
+    log::Event(log::Level::kInfo, "prepaid_given_back")
+        .With("account", account)
+        .With("tokens", tokens);
+    peers_.give(account, tokens);
+  }
+}
+
 void TokenPool::CommitReturnProposal() {
   ++return_attempts_;
   CommitProposal(ledger_.ProposeReturn(EstimateStoreTime()));
--- a/src/dandelionmill/prepaid/token_pool.h
+++ b/src/dandelionmill/prepaid/token_pool.h
@@ -220,6 +220,9 @@
   void ContinueAfterCommit();
   void CommitReturnProposal();
   void GiveAllAvailable();
+  // Gives back what was borrowed for requests and not used: in a large fleet,
+  // the remainders of all instances would add up to many requests.
+  void GiveBackUnused();
   std::uint64_t AddWaiter(const base::AccountId& account,
                           base::Tokens tokens,
                           std::chrono::milliseconds timeout,
@@ -266,12 +269,12 @@
   };
   LostPredecessor predecessor_;
   bool has_stored_row_ = false;
-
-  bool is_committing_ = false;
-  bool tick_pending_ = false;
   // The shares of the last stored row, and when it was stored.
   std::map<base::AccountId, HolderShare> stored_shares_;
   base::MonoTime row_stored_at_{};
+
+  bool is_committing_ = false;
+  bool tick_pending_ = false;
   bool last_commit_failed_ = false;
   int consecutive_conflicts_ = 0;
   // Until then no tokens are drawn from accounts that other instances own.
--- a/tests/unit/prepaid/token_pool_test.cc
+++ b/tests/unit/prepaid/token_pool_test.cc
@@ -544,3 +544,52 @@
   RunFor(fixture.loop, milliseconds(20));
   CHECK(second->ledger().Held(kAccount) + used <= 20000);
 }
+
+TEST_CASE("Borrowed tokens that no request uses are given back",
+          "[prepaid][large_fleet]") {
+  Fixture fixture;
+  TokenPool pool(fixture.loop, fixture.table, "front-2", "p1");
+  bool is_owner = false;
+  Tokens given_back = 0;
+  pool.SetPeers({[&](const AccountId&) { return is_owner; },
+                 [&](const AccountId&, Tokens tokens,
+                     std::function<void(TokenPool::Loan)> done) {
+                   boost::asio::post(fixture.loop, [done, tokens] {
+                     done({tokens, false});
+                   });
+                 },
+                 [&](const AccountId& account, Tokens tokens) {
+                   CHECK(account == kAccount);
+                   given_back += tokens;
+                 }});
+  pool.SetAccounts({{kAccount, 100000}});
+  REQUIRE(fixture.Reserve(pool, 12000) == ReserveOutcome::kReserved);
+  const auto tick_after = [&](milliseconds time) {
+    Pass(fixture.loop, time);
+    pool.Tick();
+    RunFor(fixture.loop, milliseconds(20));
+  };
+  SECTION("but for those that are reserved") {
+    tick_after(milliseconds(1200));
+    CHECK(given_back == 0);
+  }
+  SECTION("once") {
+    pool.Settle(kAccount, 12000, 4000);
+    tick_after(milliseconds(1200));
+    tick_after(milliseconds(20));
+    CHECK(given_back == 8000);
+    CHECK(pool.ledger().Held(kAccount) == 0);
+  }
+  SECTION("unless the next request comes soon") {
+    pool.Settle(kAccount, 12000, 0);
+    tick_after(milliseconds(20));
+    CHECK(given_back == 0);
+    CHECK(pool.TryReserve(kAccount, 12000));
+  }
+  SECTION("and kept by an instance that has become the owner") {
+    pool.Settle(kAccount, 12000, 0);
+    is_owner = true;
+    tick_after(milliseconds(1200));
+    CHECK(given_back == 0);
+  }
+}
