Choose among 160 backend servers in less time

Cause: each choice hashed a text for every backend server to find the home of the prompt, looked its state up in an ordered map by text, and computed exponentials for values that had long decayed. Evidence: a loop over Choose as an instance calls it, 118 us a request at 160 backend servers and 6 us at 9. Change: hashes of ids are kept and combined, states are found once by hash, values of six time constants' age count as gone. Conclusion: homes move once, with the release.

--- a/src/dandelionmill/base/digest.cc
+++ b/src/dandelionmill/base/digest.cc
@@ -7,6 +7,19 @@
 #include <vector>
 
 namespace dandelionmill::base {
+namespace {
+
+// The 64-bit finalizer of MurmurHash3.
+std::uint64_t Finalize(std::uint64_t hash) {
+  hash ^= hash >> 33;
+  hash *= 0xff51afd7ed558ccdULL;
+  hash ^= hash >> 33;
+  hash *= 0xc4ceb9fe1a85ec53ULL;
+  hash ^= hash >> 33;
+  return hash;
+}
+
+}  // namespace
 
 std::string Sha256Hex(std::string_view data) {
   unsigned char digest[SHA256_DIGEST_LENGTH];
@@ -28,19 +41,17 @@
 }
 
 std::uint64_t StableHash(std::string_view data) {
-  // FNV-1a, followed by the 64-bit finalizer of MurmurHash3 because FNV-1a
-  // alone distributes short inputs poorly.
+  // FNV-1a alone distributes short inputs poorly.
   std::uint64_t hash = 14695981039346656037ULL;
   for (char c : data) {
     hash ^= static_cast<unsigned char>(c);
     hash *= 1099511628211ULL;
   }
-  hash ^= hash >> 33;
-  hash *= 0xff51afd7ed558ccdULL;
-  hash ^= hash >> 33;
-  hash *= 0xc4ceb9fe1a85ec53ULL;
-  hash ^= hash >> 33;
-  return hash;
+  return Finalize(hash);
+}
+
+std::uint64_t CombineHashes(std::uint64_t first, std::uint64_t second) {
+  return Finalize(first * 0x9e3779b97f4a7c15ULL + second);
 }
 
 std::string RandomToken(int length) {
--- a/src/dandelionmill/base/digest.h
+++ b/src/dandelionmill/base/digest.h
@@ -18,6 +18,10 @@
 // release. Not cryptographically secure.
 std::uint64_t StableHash(std::string_view data);
 
+// Returns a hash of the ordered pair of two such hashes, with the same
+// properties.
+std::uint64_t CombineHashes(std::uint64_t first, std::uint64_t second);
+
 // Returns `length` random characters out of a-z and 0-5 (5 bits each) from
 // OpenSSL's cryptographic random generator.
 std::string RandomToken(int length);
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -56,6 +56,10 @@
 // Weight of one outcome in the failure share.
 constexpr double kFailureSmoothing = 0.2;
 
+// Time constants after which a decayed value counts as gone. In a large fleet
+// an instance knows nothing newer of most backend servers.
+constexpr double kMaxDecayTimes = 6;
+
 // Ejection time after the first of consecutive broken attempts; it doubles with
 // each further one.
 constexpr milliseconds kBaseEjectionTime{250};
@@ -135,6 +139,7 @@
   if (state.service.empty()) {
     state.service = backend.service;
     state.incarnation = backend.incarnation;
+    state.id_hash = base::StableHash(backend.id.value());
     const auto cache = cache_tokens_.find(backend.service);
     // Half of it, since running requests use the same memory.
     state.cached_prompts.SetCapacity(
@@ -180,6 +185,8 @@
 
 double Placement::Slowness(const State& state, base::MonoTime now) const {
   const duration<double> age = now - state.slowness_updated_at;
+  if (age > kMaxDecayTimes * kSlownessDecayTime)
+    return 1;
   return std::pow(state.slowness, std::exp(-age / kSlownessDecayTime));
 }
 
@@ -218,6 +225,8 @@
 
 double Placement::FailureShare(const State& state, base::MonoTime now) const {
   const duration<double> age = now - state.failure_updated_at;
+  if (age > kMaxDecayTimes * kFailureDecayTime)
+    return 0;
   return state.failure_share * std::exp(-age / kFailureDecayTime);
 }
 
@@ -284,8 +293,8 @@
 }
 
 Placement::SharedPrompt Placement::FindSharedPrompt(
-    const std::vector<const BackendEntry*>& usable,
-    const PlacementRequest& request) const {
+    const std::vector<Candidate>& candidates,
+    const PlacementRequest& request) {
   SharedPrompt shared;
   if (request.model == nullptr || request.model->parts.size() < 2)
     return shared;
@@ -293,12 +302,13 @@
   for (std::size_t i = 0; i + 1 < parts.size(); ++i)
     shared.tokens += parts[i].tokens;
   shared.key = parts[parts.size() - 2].id;
+  const std::uint64_t key_hash = base::StableHash(shared.key);
   std::uint64_t highest = 0;
-  for (const BackendEntry* backend : usable) {
+  for (const Candidate& candidate : candidates) {
     const std::uint64_t rank =
-        base::StableHash(shared.key + "/" + backend->id.value());
+        base::CombineHashes(key_hash, candidate.state->id_hash);
     if (shared.home == nullptr || rank > highest) {
-      shared.home = backend;
+      shared.home = candidate.backend;
       highest = rank;
     }
   }
@@ -394,7 +404,11 @@
     const std::vector<const BackendEntry*>& usable,
     const PlacementRequest& request,
     base::MonoTime now) {
-  const SharedPrompt shared = FindSharedPrompt(usable, request);
+  std::vector<Candidate> candidates;
+  candidates.reserve(usable.size());
+  for (const BackendEntry* backend : usable)
+    candidates.push_back({backend, &StateOf(*backend)});
+  const SharedPrompt shared = FindSharedPrompt(candidates, request);
   std::uniform_real_distribution<double> jitter(1, 1 + kWaitJitter);
   std::array<const BackendEntry*, 2> drawn{};
   if (std::holds_alternative<TwoChoices>(policy_) && !usable.empty()) {
@@ -405,8 +419,8 @@
   double best_cost = 0;
   // Ejected backend servers are used if there is no other.
   for (const bool skip_ejected : {true, false}) {
-    for (const BackendEntry* backend : usable) {
-      State& state = StateOf(*backend);
+    for (const auto& [backend, state_of_backend] : candidates) {
+      const State& state = *state_of_backend;
       if (request.excluded.count(backend->id) != 0 ||
           (skip_ejected && now < state.ejected_until) ||
           state.in_flight >= request.max_in_flight)
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -156,6 +156,8 @@
  private:
   struct State {
     std::int64_t incarnation = 0;
+    // Hash of the id, for the home of shared prompts.
+    std::uint64_t id_hash = 0;
     base::ServiceId service;
     int in_flight = 0;
     // Uncached prompt tokens sent by this instance whose prefill is not
@@ -187,11 +189,16 @@
     const BackendEntry* home = nullptr;
   };
 
+  struct Candidate {
+    const BackendEntry* backend;
+    State* state;
+  };
+
   State& StateOf(const BackendEntry& backend);
   double FailureShare(const State& state, base::MonoTime now) const;
   double Slowness(const State& state, base::MonoTime now) const;
-  SharedPrompt FindSharedPrompt(const std::vector<const BackendEntry*>& usable,
-                                const PlacementRequest& request) const;
+  static SharedPrompt FindSharedPrompt(const std::vector<Candidate>& candidates,
+                                       const PlacementRequest& request);
   double ExpectedWaitMs(const BackendEntry& backend,
                         const State& state,
                         const PlacementRequest& request,
@@ -225,7 +232,7 @@
                               const SharedPrompt& shared);
 
   const PlacementPolicy policy_;
-  std::map<base::BackendId, State> states_;
+  std::unordered_map<base::BackendId, State> states_;
   std::map<base::ServiceId, base::Tokens> cache_tokens_;
   // Bytes exchanged with other zones for each shared prompt.
   std::unordered_map<std::string, double> cross_zone_bytes_;
