Soak: children hold no connections of the soak open

Not by the gateway's framing: it probed the crashed server, and the proxy's port still accepted. Processes that the soak had started since held the proxy's listening socket open, so closing it had no effect; and the proxy took a connection in progress for an accepted one. Change: descriptors are closed in children; the proxy waits for the outcome of its probe.

--- a/tests/soak/child_process.cc
+++ b/tests/soak/child_process.cc
@@ -37,6 +37,9 @@
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, kLogMode);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // Otherwise a port or connection that this process closes stays open in the
+  // child.
+  posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   const int error = posix_spawn(&id_, command[0].c_str(), &files, nullptr,
                                 ToArgv(command).data(), ToArgv(entries).data());
   posix_spawn_file_actions_destroy(&files);
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/fault_proxy.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,6 +20,7 @@
 
 constexpr std::chrono::microseconds kPollInterval{5000};
 constexpr std::chrono::milliseconds kTargetExitTime{40};
+constexpr std::chrono::milliseconds kMaxProbeTime{20};
 
 tcp::endpoint EndpointOf(int port) {
   return {asio::ip::make_address("127.0.0.1"),
@@ -174,16 +176,22 @@
 }
 
 void FaultProxy::CloseIfTargetRefuses() {
-  // Without blocking: the target may be suspended, with a full backlog.
+  // Waits only briefly: the target may be suspended, with a full backlog.
   const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   const tcp::endpoint target = EndpointOf(target_);
-  const bool is_refused =
-      ::connect(probe, target.data(), static_cast<socklen_t>(target.size())) <
-          0 &&
-      errno == ECONNREFUSED;
+  int error = 0;
+  if (::connect(probe, target.data(), static_cast<socklen_t>(target.size())) <
+      0)
+    error = errno;
+  pollfd ready{probe, POLLOUT, 0};
+  if (error == EINPROGRESS &&
+      ::poll(&ready, 1, static_cast<int>(kMaxProbeTime.count())) == 1) {
+    socklen_t size = sizeof(error);
+    ::getsockopt(probe, SOL_SOCKET, SO_ERROR, &error, &size);
+  }
   ::close(probe);
   error_code ignored;
-  if (is_refused)
+  if (error == ECONNREFUSED)
     acceptor_.close(ignored);
 }
 
