Know the fleet before prepaid tokens are drawn

Cause: an instance that starts knew of no other until its first heartbeat was written and read back, so it took itself for the owner of all accounts. After a loss of power 295 instances drew for 40 accounts at once; each account's transactions are performed one after the other, 300 a second. The new case of fleet_members_test.cc fails before. Change: the heartbeats are read beside the first write, not after it, and an instance owns nothing before that read.

--- a/src/dandelionmill/gateway/fleet_members.cc
+++ b/src/dandelionmill/gateway/fleet_members.cc
@@ -63,9 +63,8 @@
 }
 
 void FleetMembers::Tick(bool reads) {
-  if (is_call_in_progress_ || is_deregistered_)
+  if (calls_in_progress_ > 0 || is_deregistered_)
     return;
-  is_call_in_progress_ = true;
   const State state = state_();
   json row = {{"process", own_.process},
               {"peer", net::ToString(own_.peer_address)},
@@ -74,19 +73,18 @@
     row["era"] = *state.settled_era;
   storage::RowChange change;
   change.puts.push_back({OwnKey(), row.dump()});
+  ++calls_in_progress_;
+  // The outcome is ignored: the read shows whether the store is reachable, and
+  // the next tick writes the heartbeat again.
   table_.Commit(std::move(change), kCallTimeout,
-                [this, reads](storage::TableResponse) {
-                  if (is_deregistered_)
-                    return;
-                  // The outcome is ignored: the read shows whether the store is
-                  // reachable, and the next tick writes the heartbeat again.
-                  if (!reads) {
-                    is_call_in_progress_ = false;
-                    return;
-                  }
-                  read_begun_at_ = std::chrono::steady_clock::now();
-                  Read("", {});
-                });
+                [this](storage::TableResponse) { --calls_in_progress_; });
+  if (!reads)
+    return;
+  // Not after the write: the store performs those of the whole fleet one after
+  // the other, which takes a second when all instances start together.
+  ++calls_in_progress_;
+  read_begun_at_ = std::chrono::steady_clock::now();
+  Read("", {});
 }
 
 void FleetMembers::Read(const std::string& from_key,
@@ -96,8 +94,9 @@
       [this,
        earlier = std::move(earlier)](storage::TableResponse answer) mutable {
         const bool is_older = answer.era && era_ && *answer.era < *era_;
-        if (answer.outcome != storage::CallOutcome::kDone || is_older) {
-          is_call_in_progress_ = false;
+        if (answer.outcome != storage::CallOutcome::kDone || is_older ||
+            is_deregistered_) {
+          --calls_in_progress_;
           return;
         }
         // A later page begins with the last row of the one before.
@@ -109,7 +108,7 @@
           Read(answer.rows.back().key.key, std::move(earlier));
           return;
         }
-        is_call_in_progress_ = false;
+        --calls_in_progress_;
         answer.rows = std::move(earlier);
         const base::MonoTime now = std::chrono::steady_clock::now();
         Observe(answer, now);
--- a/src/dandelionmill/gateway/fleet_members.h
+++ b/src/dandelionmill/gateway/fleet_members.h
@@ -116,7 +116,7 @@
   base::MonoTime read_begun_at_{};
   base::MonoTime last_read_{};
   std::optional<std::uint64_t> era_;
-  bool is_call_in_progress_ = false;
+  int calls_in_progress_ = 0;
   bool is_deregistered_ = false;
   int count_ = 1;
 };
--- a/src/dandelionmill/peer/borrower.cc
+++ b/src/dandelionmill/peer/borrower.cc
@@ -21,6 +21,8 @@
 }
 
 bool Borrower::IsOwner(const base::AccountId& account) const {
+  if (!knows_instances_)
+    return false;
   const OwnerRanking::Order& order = ranking_.OrderOf(account);
   for (std::size_t i = 0; i < order.above_self; ++i) {
     if (!IsUnresponsive(ranking_.instance(order.others[i]).id))
--- a/src/dandelionmill/peer/borrower.h
+++ b/src/dandelionmill/peer/borrower.h
@@ -35,6 +35,7 @@
   // Sets the other running instances.
   void SetInstances(std::vector<Instance> others) {
     ranking_.SetInstances(std::move(others));
+    knows_instances_ = true;
   }
   // Requests tokens from the owner, then from the next in rank if it does not
   // answer or gives nothing. The handler receives the final answer and never
@@ -48,7 +49,8 @@
 
   // Query.
   // Whether this instance owns the account, judging by the responsive instances
-  // known to it.
+  // known to it. It owns none before the instances were set: when a fleet
+  // starts together, each would draw for all accounts and hold up the others.
   bool IsOwner(const base::AccountId& account) const;
 
  private:
@@ -77,6 +79,7 @@
   boost::asio::io_context& loop_;
   LendingPort& port_;
   OwnerRanking ranking_;
+  bool knows_instances_ = false;
   std::map<base::InstanceId, base::MonoTime> unresponsive_until_;
 };
 
--- a/tests/unit/gateway/fleet_members_test.cc
+++ b/tests/unit/gateway/fleet_members_test.cc
@@ -146,3 +146,16 @@
   CHECK(fixture.count == 350);
   CHECK(fixture.others.size() == 349);
 }
+
+// Guards against a fleet that starts together, in which every instance draws
+// prepaid tokens for all accounts, since it knows of no other.
+TEST_CASE("An instance knows the fleet before its first heartbeat is written",
+          "[gateway][large_fleet][power_off_all]") {
+  Fixture fixture;
+  fixture.PutHeartbeat("front-2", 7002);
+  fixture.table.SetLatency(std::chrono::milliseconds(400));
+  fixture.members.TickAndRead();
+  // A read is answered after half of the latency, a write after all of it.
+  fixture.loop.run_for(std::chrono::milliseconds(300));
+  CHECK(fixture.others.size() == 1);
+}
--- a/tests/unit/peer/lending_port_test.cc
+++ b/tests/unit/peer/lending_port_test.cc
@@ -149,3 +149,12 @@
   CHECK(answer->given == 0);
   CHECK(answer->is_drawing == is_drawing);
 }
+
+TEST_CASE("An instance owns no account before it knows the fleet",
+          "[peer][power_off_all]") {
+  Fixture fixture;
+  Borrower borrower(fixture.loop, fixture.first, InstanceId("self"));
+  CHECK_FALSE(borrower.IsOwner(AccountId("painters")));
+  borrower.SetInstances({});
+  CHECK(borrower.IsOwner(AccountId("painters")));
+}
