Prolong the overload of an instance fourfold when its callers come back

Cause: the balancer prefers the same instance for a caller. An instance with 0.12 cores that one tenant fills comes back after 3, 6, 12 s, and each time the tenant is badly served for two to three seconds, until the balancer has noticed. Change: 3, 12, 48 s, at most 240 s.

--- a/src/dandelionmill/gateway/overload_detector.cc
+++ b/src/dandelionmill/gateway/overload_detector.cc
@@ -48,9 +48,11 @@
 constexpr std::chrono::milliseconds kRecoveryTime{1000};
 
 // Least duration of the first overload and of any, and the time from its end
-// within which the next one counts as a relapse, which doubles it.
+// within which the next one counts as a relapse, which prolongs it: the callers
+// that came back are badly served for some seconds each time.
 constexpr std::chrono::milliseconds kFirstOverloadTime{3000};
-constexpr std::chrono::milliseconds kMaxOverloadTime{30000};
+constexpr int kRelapseFactor = 4;
+constexpr std::chrono::milliseconds kMaxOverloadTime{240000};
 constexpr std::chrono::milliseconds kRelapseTime{8000};
 
 // Time in which the balancer notices that an instance is not ready: two checks
@@ -112,9 +114,10 @@
 void OverloadDetector::BeginOverload(base::MonoTime now) {
   const bool is_relapse = overload_ended_at_ != base::MonoTime() &&
                           now - overload_ended_at_ < kRelapseTime;
-  min_overload_time_ = is_relapse
-                           ? std::min(kMaxOverloadTime, 2 * min_overload_time_)
-                           : kFirstOverloadTime;
+  min_overload_time_ =
+      is_relapse
+          ? std::min(kMaxOverloadTime, kRelapseFactor * min_overload_time_)
+          : kFirstOverloadTime;
   is_overloaded_ = true;
   overloaded_since_ = now;
 }
