Rows of prepaid tokens are valid for 900 ms, and still stored every 250 ms

Cause: when a process ends, its successor must count as used all that it might have used beyond its last row, from the end of the row's validity (500 ms) to the recovery, 1.7 s and more after the row: some two seconds of demand of each account, and the accounts are used up early. The price of a longer one is a wait when the store is lost.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -16,8 +16,9 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// Longest wait for prepaid tokens: Ledger::kRowValidity, after which they may
-// be used without the store, plus time to borrow from other instances.
+// Longest wait for prepaid tokens. When the store is lost, those that the last
+// row lists are used up before Ledger::kRowValidity has passed, after which
+// others may be used; to that comes the time to borrow from other instances.
 constexpr milliseconds kMaxReserveWait{1300};
 
 // A request that cannot be retried reuses only connections that were idle for a
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -18,7 +18,6 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr milliseconds kTickInterval{250};
-constexpr milliseconds kPrepaidTickInterval = prepaid::Ledger::kRowValidity / 2;
 constexpr milliseconds kPoolCleanupInterval{1000};
 constexpr milliseconds kStoreUseInterval{10000};
 // Pause between reads of the registry's and the reports' changes, for each
@@ -211,7 +210,7 @@
   crash_follower_.Start();
   fleet_members_.Tick();
   timers_.Subscribe(kTickInterval, [this](base::MonoTime now) { Tick(now); });
-  timers_.Subscribe(kPrepaidTickInterval,
+  timers_.Subscribe(prepaid::Ledger::kRowInterval,
                     [this](base::MonoTime) { token_pool_.Tick(); });
   timers_.Subscribe(FleetMembers::kHeartbeatInterval,
                     [this](base::MonoTime) { fleet_members_.Tick(); });
--- a/src/dandelionmill/prepaid/internal/token_pool_waiters.cc
+++ b/src/dandelionmill/prepaid/internal/token_pool_waiters.cc
@@ -13,8 +13,9 @@
 // after each answer.
 constexpr std::chrono::milliseconds kWaiterCheckInterval{100};
 
-// Timeout of a loan request from another instance: the validity of the stored
-// row, plus time for the additional rate after expiry to cover the shortfall.
+// Timeout of a loan request from another instance: what is left of the validity
+// of the stored row when its tokens are used up, plus time for the additional
+// rate after expiry to cover the shortfall.
 constexpr std::chrono::milliseconds kLendTimeout{1150};
 
 // Rows stored for a waiting reservation without waiting for the next tick.
--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -41,11 +41,11 @@
 // Excess in tokens up to which a return is not worth a transaction.
 constexpr double kMinReturnTokens = 5000;
 
-// Tokens that may be committed before the next row is stored: the demand of the
-// interval between rows and the validity of a row, or a multiple of the mean
+// Tokens that may be committed before the next row is stored: the demand of a
+// time that covers some intervals between rows, or a multiple of the mean
 // request for accounts with few, large requests. A successor cannot recover
 // them; a burst beyond them waits for a row that is stored at once.
-constexpr duration<double> kUnlistedDemandTime = 1.5 * Ledger::kRowValidity;
+constexpr duration<double> kUnlistedDemandTime = 3 * Ledger::kRowInterval;
 constexpr double kUnlistedRequests = 1.5;
 
 // Tokens per second that may be committed after a row has expired: a multiple
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -24,8 +24,13 @@
 class Ledger {
  public:
   // Validity of a stored row: how long no more than its committed tokens are
-  // used. While the store answers, rows are stored more often than this.
-  static constexpr std::chrono::milliseconds kRowValidity{500};
+  // used. A successor cannot tell whether a process ended or was cut off from
+  // the store, so what it might use after that time is lost when it ends. A
+  // longer validity loses less, but when the store is lost, requests wait for
+  // its end.
+  static constexpr std::chrono::milliseconds kRowValidity{900};
+  // How often a row is stored while the store answers.
+  static constexpr std::chrono::milliseconds kRowInterval{250};
 
   // An account as last known to TokenPool, the input of a proposal.
   struct AccountView {
--- a/src/dandelionmill/prepaid/token_pool.h
+++ b/src/dandelionmill/prepaid/token_pool.h
@@ -80,8 +80,8 @@
   // Sets the access to other instances. Without it, this instance owns all
   // accounts.
   void SetPeers(Peers peers) { peers_ = std::move(peers); }
-  // Stores the next holder row and moves tokens. Call twice in each
-  // Ledger::kRowValidity. While the process has no tokens left to use, the row
+  // Stores the next holder row and moves tokens. Call every
+  // Ledger::kRowInterval. While the process has no tokens left to use, the row
   // is stored only every kIdleRowInterval.
   void Tick();
   // The store may have been restored: writes a row in any case, since the
