Share an answer to a suspected prompt part by a few instances only

Cause: after a crash every instance that saw an answer to a request with a part that had been running wrote that to the table of reports, and every instance reads all changes of it: the bytes grow as the square of the fleet. Change: in a fleet of more than 12, about 12 instances share an answer at once, the others after 1 to 3 s and only if no other has said it meanwhile; a part with a single crash, which never leads to a quarantine, is not shared. Up to 12 instances nothing changes. Figures: crash_guard_test.cc, 295 instances, an answer at each: 295 rows before, at most 20 now.

--- a/src/dandelionmill/gateway/backend_reports.cc
+++ b/src/dandelionmill/gateway/backend_reports.cc
@@ -119,7 +119,7 @@
                             " " + std::to_string(number);
     Add(key, EncodeReportRow({process_, std::move(report), number}), now);
   }
-  for (CrashGuard::Clearance& clearance : guard_.TakeClearances()) {
+  for (CrashGuard::Clearance& clearance : guard_.TakeClearances(now)) {
     log::Event(log::Level::kInfo, "prompt_part_cleared")
         .With("part", clearance.part)
         .With("after_crashes", clearance.is_after_crashes);
--- a/src/dandelionmill/gateway/crash_guard.cc
+++ b/src/dandelionmill/gateway/crash_guard.cc
@@ -113,7 +113,7 @@
   if (record.crashes.size() > 1 && !record.is_answer_reported &&
       AnsweredAt(part)) {
     record.is_answer_reported = true;
-    clearances_.push_back({part, false});
+    AddClearance({part, false}, record.crashes.size(), now);
   }
 }
 
@@ -136,7 +136,7 @@
     const auto found = parts_.find(part);
     if (found == parts_.end())
       continue;
-    clearances_.push_back({part, true});
+    AddClearance({part, true}, found->second.crashes.size(), now);
     parts_.erase(found);
     has_changed = true;
   }
@@ -144,6 +144,21 @@
     UpdateQuarantine();
 }
 
+void CrashGuard::AddClearance(Clearance clearance,
+                              std::size_t crashes,
+                              base::MonoTime now) {
+  if (instances_ > kPromptInstances && crashes < kSharedSuspicionCrashCount)
+    return;
+  std::bernoulli_distribution is_prompt(
+      std::min(1.0, static_cast<double>(kPromptInstances) / instances_));
+  std::uniform_int_distribution<std::int64_t> delay(kMinShareDelay.count(),
+                                                    kMaxShareDelay.count());
+  const base::MonoTime due_at =
+      is_prompt(random_) ? now
+                         : now + std::chrono::milliseconds(delay(random_));
+  clearances_.push_back({std::move(clearance), due_at});
+}
+
 void CrashGuard::MergeReport(const Report& report,
                              std::uint64_t version,
                              base::MonoTime now) {
@@ -156,6 +171,13 @@
 
 void CrashGuard::MergeClearance(const Clearance& clearance,
                                 std::uint64_t version) {
+  const auto is_said = [&clearance](const PendingClearance& pending) {
+    return pending.clearance.part == clearance.part &&
+           (clearance.is_after_crashes || !pending.clearance.is_after_crashes);
+  };
+  clearances_.erase(
+      std::remove_if(clearances_.begin(), clearances_.end(), is_said),
+      clearances_.end());
   const auto found = parts_.find(clearance.part);
   if (found == parts_.end())
     return;
@@ -179,8 +201,18 @@
   return std::exchange(reports_, {});
 }
 
-std::vector<CrashGuard::Clearance> CrashGuard::TakeClearances() {
-  return std::exchange(clearances_, {});
+std::vector<CrashGuard::Clearance> CrashGuard::TakeClearances(
+    base::MonoTime now) {
+  std::vector<Clearance> due;
+  std::vector<PendingClearance> later;
+  for (PendingClearance& pending : clearances_) {
+    if (pending.due_at <= now)
+      due.push_back(std::move(pending.clearance));
+    else
+      later.push_back(std::move(pending));
+  }
+  clearances_ = std::move(later);
+  return due;
 }
 
 std::vector<std::string> CrashGuard::TakeQuarantinedParts() {
--- a/src/dandelionmill/gateway/crash_guard.h
+++ b/src/dandelionmill/gateway/crash_guard.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -92,7 +93,22 @@
     bool is_after_crashes = true;
   };
 
+  // Crashes from which on an answer to a suspected part is shared in a fleet of
+  // more than kPromptInstances. Fewer never lead to a quarantine.
+  static constexpr std::size_t kSharedSuspicionCrashCount = 2;
+  // Instances of the fleet that share an answer at once, on average. The others
+  // wait for a time within these bounds and then share only what is new: an
+  // answer to a popular part arrives at all of them.
+  static constexpr int kPromptInstances = 12;
+  static constexpr std::chrono::milliseconds kMinShareDelay{1000};
+  static constexpr std::chrono::milliseconds kMaxShareDelay{3000};
+
+  // `seed` must differ between the instances.
+  explicit CrashGuard(std::uint64_t seed = 0) : random_(seed) {}
+
   // Commands.
+  // Sets the number of live instances of the fleet, including this one.
+  void SetInstanceCount(int instances) { instances_ = instances; }
   void OnAttemptBroken(BrokenAttempt attempt);
   // A connection attempt to the backend server was refused.
   void OnConnectionRefused(const base::BackendId& backend, base::MonoTime now);
@@ -108,9 +124,9 @@
   // Adds a clearance of another instance, which applies to the reports before
   // `version`.
   void MergeClearance(const Clearance& clearance, std::uint64_t version);
-  // Return what to send to other instances, and clear it.
+  // Return what to send to other instances now, and clear it.
   std::vector<Report> TakeReports();
-  std::vector<Clearance> TakeClearances();
+  std::vector<Clearance> TakeClearances(base::MonoTime now);
   // Returns the parts that were quarantined since the last call, for logs.
   std::vector<std::string> TakeQuarantinedParts();
   // Removes broken attempts and records that are too old.
@@ -145,6 +161,10 @@
     // The other instances know that this one has seen an answer before.
     bool is_answer_reported = false;
   };
+  struct PendingClearance {
+    Clearance clearance;
+    base::MonoTime due_at{};
+  };
   // Crashes that no quarantined part explains.
   struct Evidence {
     std::size_t crashes = 0;
@@ -161,6 +181,10 @@
   // Returns this instance's unpublished report of the crash.
   Report& OwnReportOf(const base::BackendId& backend);
   void ClearParts(const std::vector<std::string>& parts, base::MonoTime now);
+  // Shares an answer to a part that was involved in `crashes`.
+  void AddClearance(Clearance clearance,
+                    std::size_t crashes,
+                    base::MonoTime now);
   Evidence EvidenceAgainst(const PartRecord& record) const;
   bool IsSufficient(const std::string& part,
                     const PartRecord& record,
@@ -189,7 +213,9 @@
   std::unordered_map<std::string, base::MonoTime> answered_;
   std::unordered_map<std::string, base::MonoTime> answered_before_;
   std::vector<Report> reports_;
-  std::vector<Clearance> clearances_;
+  std::vector<PendingClearance> clearances_;
+  int instances_ = 1;
+  std::mt19937_64 random_;
   std::vector<std::string> newly_quarantined_;
 };
 
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -43,6 +43,7 @@
         random(std::random_device{}()),
         placement(random(), policy),
         backoff(random()),
+        crash_guard(random()),
         stream_records(event_loop, stream_versions, table) {}
 
   // Returns the retry allowance of a service; creates it on first use.
--- a/tests/unit/gateway/crash_guard_test.cc
+++ b/tests/unit/gateway/crash_guard_test.cc
@@ -1,6 +1,7 @@
 #include "dandelionmill/gateway/crash_guard.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 
 using dandelionmill::base::BackendId;
 using dandelionmill::base::MonoTime;
@@ -35,7 +36,7 @@
 void Share(CrashGuard& from, CrashGuard& to, std::uint64_t& version, int ms) {
   for (const CrashGuard::Report& report : from.TakeReports())
     to.MergeReport(report, ++version, At(ms));
-  for (const CrashGuard::Clearance& clearance : from.TakeClearances())
+  for (const CrashGuard::Clearance& clearance : from.TakeClearances(At(ms)))
     to.MergeClearance(clearance, ++version);
 }
 
@@ -263,6 +264,52 @@
   CHECK(guard.FindQuarantinedPart({"", {"bad"}}).has_value());
 }
 
+// Guards against reports that grow as the square of the fleet: after a crash
+// every instance sees answers to the popular parts that were running.
+TEST_CASE("Few instances of a large fleet share an answer to a popular part",
+          "[gateway][large_fleet][srv_crash]") {
+  constexpr int kInstances = 295;
+  constexpr int kMaxShared = 20;
+  // From an answer to the clearance at the other instances.
+  constexpr int kFeedDelayMs = 800;
+  std::deque<CrashGuard> fleet;
+  for (int i = 0; i < kInstances; ++i) {
+    fleet.emplace_back(static_cast<std::uint64_t>(i));
+    fleet.back().SetInstanceCount(kInstances);
+    for (const char* backend : {"a", "b"})
+      fleet.back().MergeReport({BackendId(backend), {}, {{"popular", false}}},
+                               1, At(0));
+  }
+  for (CrashGuard& guard : fleet)
+    guard.OnAnswering({"request", {"popular"}}, At(100));
+  int shared = 0;
+  std::deque<std::pair<int, CrashGuard::Clearance>> feed;
+  for (int ms = 200; ms < 5000; ms += 100) {
+    for (CrashGuard& guard : fleet) {
+      for (const auto& clearance : guard.TakeClearances(At(ms))) {
+        ++shared;
+        feed.emplace_back(ms + kFeedDelayMs, clearance);
+      }
+    }
+    while (!feed.empty() && feed.front().first <= ms) {
+      for (CrashGuard& guard : fleet)
+        guard.MergeClearance(feed.front().second, 2);
+      feed.pop_front();
+    }
+  }
+  CHECK(shared >= 1);
+  CHECK(shared <= kMaxShared);
+}
+
+TEST_CASE("An answer to a part with one crash is not shared in a large fleet",
+          "[gateway][large_fleet]") {
+  CrashGuard guard;
+  guard.SetInstanceCount(100);
+  Crash(guard, "first", "a", 0, {"part"});
+  guard.OnAnswering({"second", {"part"}}, At(500));
+  CHECK(guard.TakeClearances(At(600)).empty());
+}
+
 TEST_CASE("The last part of a prompt is not shared", "[gateway]") {
   using dandelionmill::gateway::SharedPartIds;
   CHECK(SharedPartIds({{"aa", 1}, {"bb", 2}, {"cc", 3}}) ==
