Let a process use more of its prepaid tokens once it has been cut off for long

Cause: since rows are valid for 900 ms, a holder that is cut off from the store is behind its demand from the first second on, and its rate (1.25 times the demand) has no room for requests that are larger than usual. Change: 2.5 s after the row, 2.5 times the rate for 0.6 s. The successor counts the same. A test of such a cut (ledger_test.cc) refuses none after its first two seconds; it also holds before, so it guards but does not show it.

--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -231,8 +231,7 @@
         stored == proposal.row.shares.end() ? HolderShare() : stored->second;
     share.drawn = entry.drawn;
     share.recovered = 0;
-    share.committed_limit = entry.committed;
-    share.rate_per_s = entry.rate_per_s;
+    share.stored = entry;
     share.stored_at = now;
   }
 }
@@ -250,11 +249,10 @@
   if (found == shares_.end())
     return 0;
   const Share& share = found->second;
-  const double seconds_since_expiry =
-      std::max(0.0, Seconds(now - share.stored_at - kRowValidity));
-  const base::Tokens allowed = share.committed_limit - share.committed() +
-                               static_cast<base::Tokens>(std::floor(
-                                   share.rate_per_s * seconds_since_expiry));
+  const base::Tokens allowed =
+      share.stored.committed - share.committed() +
+      static_cast<base::Tokens>(std::floor(
+          UseAfterExpiry(share.stored, now - share.stored_at - kRowValidity)));
   return share.unused_borrowed() +
          std::max<base::Tokens>(0, std::min(share.held_drawn(), allowed));
 }
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -130,9 +130,8 @@
     base::Tokens borrowed = 0;
     base::Tokens used = 0;
     base::Tokens reserved = 0;
-    // HolderShare::committed and rate_per_s of the stored row.
-    base::Tokens committed_limit = 0;
-    double rate_per_s = 0;
+    // The limits of the stored row.
+    HolderShare stored;
     base::BootTime stored_at{};
     // Reserved tokens, decayed exponentially with kDemandTimeConstant.
     double recent_tokens = 0;
--- a/src/dandelionmill/prepaid/rows.cc
+++ b/src/dandelionmill/prepaid/rows.cc
@@ -20,14 +20,22 @@
 // row expired.
 base::Tokens MaxUse(const HolderShare& share,
                     std::chrono::milliseconds since_expiry) {
-  const double seconds =
-      std::max(0.0, std::chrono::duration<double>(since_expiry).count());
-  return share.committed + static_cast<base::Tokens>(std::ceil(
-                               share.rate_per_s * seconds * kClockDriftFactor));
+  return share.committed + static_cast<base::Tokens>(std::ceil(UseAfterExpiry(
+                               share, kClockDriftFactor * since_expiry)));
 }
 
 }  // namespace
 
+double UseAfterExpiry(const HolderShare& share,
+                      std::chrono::duration<double> since_expiry) {
+  using Seconds = std::chrono::duration<double>;
+  const double seconds = std::max(0.0, since_expiry.count());
+  const double late_seconds =
+      std::clamp((since_expiry - Seconds(kLateUseAfter)).count(), 0.0,
+                 Seconds(kLateUseTime).count());
+  return share.rate_per_s * (seconds + (kLateRateFactor - 1) * late_seconds);
+}
+
 std::string Encode(const AccountRow& row) {
   json contributions = json::object();
   for (const auto& [process, contribution] : row.contributions) {
--- a/src/dandelionmill/prepaid/rows.h
+++ b/src/dandelionmill/prepaid/rows.h
@@ -49,7 +49,8 @@
   // Upper bound of the drawn tokens that the process uses or reserves while the
   // row is valid.
   base::Tokens committed = 0;
-  // Tokens per second that it may commit in addition once the row has expired.
+  // Tokens per second that it may commit in addition once the row has expired,
+  // see UseAfterExpiry.
   double rate_per_s = 0;
 };
 
@@ -71,6 +72,20 @@
   std::map<base::AccountId, HolderShare> shares;
 };
 
+// Time after the expiry of a row from which on, for kLateUseTime,
+// kLateRateFactor times its rate may be used. Most processes that end have a
+// successor by then, so little is lost with them; one that lives has been cut
+// off from the store for long, and requests wait that are larger than what the
+// rate allows at once.
+inline constexpr std::chrono::milliseconds kLateUseAfter{1600};
+inline constexpr std::chrono::milliseconds kLateUseTime{600};
+inline constexpr double kLateRateFactor = 2.5;
+
+// Returns the tokens beyond HolderShare::committed that a process may commit by
+// `since_expiry` after its row expired.
+double UseAfterExpiry(const HolderShare& share,
+                      std::chrono::duration<double> since_expiry);
+
 std::string Encode(const AccountRow& row);
 std::string Encode(const HolderRow& row);
 
--- a/tests/unit/prepaid/ledger_test.cc
+++ b/tests/unit/prepaid/ledger_test.cc
@@ -1,6 +1,8 @@
 #include "dandelionmill/prepaid/ledger.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
+#include <random>
 
 using dandelionmill::base::AccountId;
 using dandelionmill::base::BootTime;
@@ -107,6 +109,44 @@
   CHECK(used + recovered <= proposal.row.shares.at(kAccount).drawn);
 }
 
+// A holder that is cut off from the store for eight seconds, with requests of
+// very different sizes. Those that find no tokens wait for some time.
+TEST_CASE(
+    "A long cut from the store refuses no request after its first seconds",
+    "[prepaid][node_cut]") {
+  constexpr int kCutBeginsMs = 15000;
+  constexpr int kCutEndsMs = 25000;
+  constexpr int kFirstMs = 2000;
+  constexpr int kStepMs = 10;
+  constexpr int kMaxWaitMs = 1300;
+  std::mt19937_64 random(11);
+  std::bernoulli_distribution arrives(0.1);
+  std::lognormal_distribution<double> size(7.5, 1);
+  Ledger ledger("p1");
+  std::deque<std::pair<int, Tokens>> waiting;
+  int refused = 0;
+  for (int ms = 0; ms < kCutEndsMs; ms += kStepMs) {
+    if (ms < kCutBeginsMs && ms % 250 == 0) {
+      const auto proposal = ledger.Propose({View(100000000, 0, 0)},
+                                           milliseconds(50000 + ms), At(ms));
+      ledger.OnStored(proposal, At(ms));
+    }
+    if (arrives(random))
+      waiting.emplace_back(ms, static_cast<Tokens>(size(random)) + 1);
+    for (std::size_t left = waiting.size(); left > 0; --left) {
+      const auto [since, tokens] = waiting.front();
+      waiting.pop_front();
+      if (ledger.TryReserve(kAccount, tokens, At(ms)))
+        ledger.Settle(kAccount, tokens, tokens);
+      else if (ms - since <= kMaxWaitMs)
+        waiting.emplace_back(since, tokens);
+      else if (since > kCutBeginsMs + kFirstMs)
+        ++refused;
+    }
+  }
+  CHECK(refused == 0);
+}
+
 TEST_CASE("Tokens in a return proposal are unusable until it is answered",
           "[prepaid]") {
   Ledger ledger("p1");
