--- a/review/2/case.cpp
+++ b/review/5/case.cpp
@@ -18,7 +18,7 @@
 
 int main() {
   signal(SIGPIPE, SIG_IGN);
-  Record record("review/2/record.txt");
+  Record record("review/5/record.txt");
   const std::string folder = TemporaryFolder();
   Consumption consumption;
   Store store(Ip(200));
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -416,11 +416,35 @@
     }
     changed_.notify_all();
     server_.CloseAll();
+    for (const auto& door : doors_)
+      door->server->CloseAll();
     SleepMs(100);
   }
   std::string address() const { return server_.address(); }
   double answer_ms = 4;
 
+  // Opens another address of the store, for one machine. Returns its number.
+  std::size_t AddDoor(const std::string& ip) {
+    doors_.push_back(std::make_unique<Door>());
+    Door& door = *doors_.back();
+    door.server = std::make_unique<Server>(
+        ip, 0, [this, &door](ConnPtr connection) {
+          Serve(connection, &door.turns_away);
+        });
+    return doors_.size() - 1;
+  }
+  std::string DoorAddress(std::size_t door) const {
+    return doors_[door]->server->address();
+  }
+  // The store answers 503 to the machine at that door, and serves the others.
+  void TurnAway(std::size_t door, bool turns_away) {
+    doors_[door]->turns_away = turns_away;
+    if (turns_away) {
+      doors_[door]->server->CloseAll();
+      doors_[door]->server->Open();
+    }
+  }
+
   // What the operator and the engines write.
   void Put(const std::string& table, const std::string& key,
            const json& value) {
@@ -525,10 +549,23 @@
             {"morePages", false}};
   }
 
-  void Serve(const ConnPtr& connection) {
+  struct Door {
+    std::unique_ptr<Server> server;
+    std::atomic<bool> turns_away{false};
+  };
+
+  void Serve(const ConnPtr& connection,
+             const std::atomic<bool>* turns_away = nullptr) {
     Message request;
     while (connection->Read(request, Clock::now() + std::chrono::minutes(5))) {
       SleepMs(answer_ms);
+      if (turns_away != nullptr && *turns_away) {
+        if (!connection->Send("HTTP/1.1 503 X\r\nStore-Era: " +
+                              std::to_string(Era()) +
+                              "\r\nContent-Length: 0\r\n\r\n"))
+          return;
+        continue;
+      }
       int status = 200;
       std::uint64_t era = 0;
       json answer;
@@ -551,6 +588,11 @@
     }
   }
 
+  std::uint64_t Era() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return era_;
+  }
+
   int Handle(const Message& request, json& answer,
              std::unique_lock<std::mutex>& lock) {
     const std::string target = request.Target();
@@ -645,6 +687,7 @@
   bool is_away_ = false;
   bool is_stopping_ = false;
   Server server_;
+  std::vector<std::unique_ptr<Door>> doors_;
 };
 
 // A gateway of the project, started as the deploy file says.
@@ -793,7 +836,8 @@
 }
 
 inline std::vector<std::unique_ptr<Gateway>> MakeGateways(
-    int count, const std::string& store, const std::string& folder) {
+    int count, const std::string& store, const std::string& folder,
+    const std::vector<std::string>& doors = {}) {
   const int port = FreePort(count);
   int ready = FreePort(count);
   while (ready == port)
@@ -802,7 +846,8 @@
   std::vector<std::unique_ptr<Gateway>> gateways;
   for (int i = 1; i <= count; ++i)
     gateways.push_back(std::make_unique<Gateway>(
-        "front-ub-a-" + std::to_string(i), Ip(i), port, ready, peer, store,
+        "front-ub-a-" + std::to_string(i), Ip(i), port, ready, peer,
+        doors.empty() ? store : doors[static_cast<std::size_t>(i - 1)],
         folder));
   return gateways;
 }
