review: case 5 inside its limit

The losses lasted 6.001 s (limit 6.0), and a random share reached 0.4 in one window (limit 0.3). Now 5.8 s and at no time more than 0.3.

--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -10,9 +10,9 @@
 constexpr long kPrompt = 2000;
 constexpr long kOutput = 40;
 constexpr int kClients = 36;
-// The largest dose of answer_lost in the site file.
+// Inside the largest dose of answer_lost in the site file, 0.3 for 6 s.
 constexpr double kLostShare = 0.3;
-constexpr double kLostSeconds = 6;
+constexpr double kLostSeconds = 5.8;
 
 }  // namespace
 
--- a/review/standin/llm.hpp
+++ b/review/standin/llm.hpp
@@ -137,7 +137,17 @@
     const long events = (output + kTokensPerEvent - 1) / kTokensPerEvent;
     consumption_.Ran(id, prompt);
     ++ran;
-    const bool is_lost = RandomShare() < lost_share;
+    bool is_lost = false;
+    {
+      // At no time more than the share of those run since the loss began.
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const double share = lost_share;
+      if (share == 0)
+        window_ran_ = window_lost_ = 0;
+      else
+        is_lost = window_lost_ + 1 <= share * ++window_ran_;
+      window_lost_ += is_lost ? 1 : 0;
+    }
     record_.Line("ran id=" + id + " engine=" + id_ + " tenant=" +
                  request.Field("Tenant") + " prompt=" + std::to_string(prompt) +
                  (is_lost ? " answer=lost" : ""));
@@ -190,6 +200,8 @@
   std::condition_variable free_;
   int running_ = 0;
   int waiting_ = 0;
+  int window_ran_ = 0;
+  int window_lost_ = 0;
   Silent lost_connections_;
   Server server_;
 };
