--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -117,7 +117,10 @@
                 .With("resumes", request_metadata_.resumed_attempt)
                 .With("after_event", request_metadata_.last_event_id)
                 .With("version", found.version)
-                .With("source", StreamRecords::ToString(found.source));
+                .With("source", StreamRecords::ToString(found.source))
+                .With("registry_age_ms",
+                      duration_cast<milliseconds>(base::BootClock::now() -
+                                                  context_.directory.as_of()));
             resumed_version_ = found.version;
             Reserve();
           },
