Record a software version in the store before streams begin at it

What callers saw: streams that were taken up after a break went on at another software version than the one that began them (ORDER), by source=only_version.

Cause: "this service has one version" is a statement about the streams of all instances up to now, made from this instance's list of the registry, up to 2.5 s old. Others had read a newer list by then and had begun streams at the new version. Class: an observation of the past, or the absence of a row, used as a statement about the present of others.

Fix: the table "versions" gets a row for a version before a stream that may be resumed begins at it, and whoever takes up a stream of another instance reads the rows after the request has arrived. One row is the version; several: the row of the stream, or a refusal. Rows of an era before a restore prove nothing. An instance that cannot read refuses with 503. The own lists with their bounds of age are gone (kMaxListAge, kMaxListGap).

The unit test of the sentence that is gone ("The only version of a service is known after a while") is replaced by those of ServiceVersions, and "takes the only one if there were never several" by tests of the records, which ask for more: a list alone proves nothing.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -303,6 +303,20 @@
                                 }),
                  usable.end());
   }
+  if (route_->kind == RequestKind::kResumableStream && !IsResume() &&
+      !usable.empty()) {
+    RemoveUnrecorded(usable);
+    if (usable.empty()) {
+      Refuse(may_have_run_
+                 ? FailMaybeRun(base::Code::kBackendFailed, 502,
+                                "no other backend server can be used")
+                 : RefuseNotRun(base::Code::kNoBackend,
+                                "the versions of the backend servers are not "
+                                "recorded in the store yet",
+                                kRetryAfterNoBackend));
+      return;
+    }
+  }
   if (!context_.request_limits.empty() || !context_.backoff.empty()) {
     for (const BackendEntry* backend : usable) {
       if (!context_.request_limits.Admits(*backend, now) ||
@@ -360,6 +374,17 @@
   Connect();
 }
 
+void Exchange::RemoveUnrecorded(
+    std::vector<const BackendEntry*>& backends) const {
+  const auto is_unrecorded = [this](const BackendEntry* backend) {
+    return !context_.service_versions.IsRecorded(service_->id,
+                                                 backend->software_version);
+  };
+  backends.erase(
+      std::remove_if(backends.begin(), backends.end(), is_unrecorded),
+      backends.end());
+}
+
 bool Exchange::IsAdmittedIfBrittle(const BackendEntry& backend,
                                    base::MonoTime now) const {
   return context_.brittle_services.Admits(
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -126,6 +126,9 @@
   void EndAttempt(AttemptEnd end);
   // Starts another attempt if the request may run again; refuses it otherwise.
   void RetryOrRefuse(const Refusal& refusal);
+  // Removes the backend servers at which a stream that may be resumed must not
+  // begin, since the store has no record of their versions.
+  void RemoveUnrecorded(std::vector<const BackendEntry*>& backends) const;
   // Whether the backend server may get a request as far as it may be brittle.
   bool IsAdmittedIfBrittle(const BackendEntry& backend,
                            base::MonoTime now) const;
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -127,6 +127,8 @@
            [this](base::BootTime) { OnRegistryCurrent(); },
            [this](const TableFollower::Restore& restore) {
              context_.directory.OnStoreRestored(restore.call_started);
+             context_.service_versions.OnStoreRestored(
+                 restore.era, std::chrono::steady_clock::now());
            }}),
       crash_follower_(
           loop,
@@ -211,6 +213,7 @@
   Accept();
   config_follower_.Start();
   backend_follower_.Start();
+  context_.version_records.Start();
   crash_follower_.Start();
   fleet_members_.Tick();
   timers_.Subscribe(kTickInterval, [this](base::MonoTime now) { Tick(now); });
@@ -356,11 +359,10 @@
 void Gateway::OnRegistryCurrent() {
   context_.directory.OnCurrent(backend_follower_.answered_call_started());
   context_.stream_versions.OnRegistryRead(context_.directory.as_of());
-  const auto age = std::chrono::duration_cast<base::MonoTime::duration>(
-      base::BootClock::now() - context_.directory.as_of());
-  const base::MonoTime as_of = std::chrono::steady_clock::now() - age;
+  const base::MonoTime now = std::chrono::steady_clock::now();
   for (const auto& [service, versions] : context_.directory.ListedVersions())
-    context_.stream_versions.OnListed(service, versions, as_of);
+    context_.service_versions.OnListed(service, versions, now);
+  context_.version_records.Update(now);
 }
 
 void Gateway::PublishBackendReports(base::MonoTime now) {
@@ -417,6 +419,7 @@
 void Gateway::OnInstances(FleetMembers::View view) {
   context_.instance_count = view.count;
   context_.stream_records.SetInstanceCount(view.count);
+  context_.version_records.SetInstanceCount(view.count);
   context_.crash_guard.SetInstanceCount(view.count);
   context_.brittle_services.SetInstanceCount(view.count);
   // Backend servers write their entries all the time. The rule for departures
@@ -462,6 +465,7 @@
   PublishBackendReports(now);
   context_.standstill.Tick(base::BootClock::now());
   context_.stream_versions.Expire(now);
+  context_.version_records.Update(now);
   context_.stream_records.Tick(now);
   const auto age = [now](const TableFollower& follower) {
     return std::chrono::duration_cast<milliseconds>(now -
@@ -477,7 +481,8 @@
 
 bool Gateway::IsReady() const {
   return !context_.is_shutting_down && !context_.overload.is_overloaded() &&
-         context_.config != nullptr && backend_follower_.has_snapshot();
+         context_.config != nullptr && backend_follower_.has_snapshot() &&
+         context_.version_records.has_read();
 }
 
 void Gateway::Shutdown(std::function<void()> done) {
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -19,10 +19,12 @@
 #include "dandelionmill/gateway/placement.h"
 #include "dandelionmill/gateway/request_limits.h"
 #include "dandelionmill/gateway/retry_allowance.h"
+#include "dandelionmill/gateway/service_versions.h"
 #include "dandelionmill/gateway/shutdown_window.h"
 #include "dandelionmill/gateway/standstill_detector.h"
 #include "dandelionmill/gateway/stream_records.h"
 #include "dandelionmill/gateway/stream_versions.h"
+#include "dandelionmill/gateway/version_records.h"
 #include "dandelionmill/prepaid/token_pool.h"
 
 namespace dandelionmill::gateway {
@@ -50,7 +52,11 @@
         connector({loop, pool, directory, crash_guard, overload},
                   zone,
                   random()),
-        stream_records(event_loop, stream_versions, table) {}
+        service_versions(std::chrono::steady_clock::now()),
+        version_records(event_loop, service_versions, table, random()),
+        stream_records({event_loop, stream_versions, service_versions,
+                        version_records, table},
+                       std::chrono::steady_clock::now()) {}
 
   // Returns the retry allowance of a service; creates it on first use.
   RetryAllowance& RetryAllowanceFor(const base::ServiceId& service) {
@@ -92,6 +98,8 @@
   RequestLimits request_limits;
   BrittleServices brittle_services;
   StreamVersions stream_versions;
+  ServiceVersions service_versions;
+  VersionRecords version_records;
   StreamRecords stream_records;
   std::map<base::ServiceId, RetryAllowance> retry_allowances;
   GatewayMetrics metrics;
--- a/src/dandelionmill/gateway/stream_records.cc
+++ b/src/dandelionmill/gateway/stream_records.cc
@@ -5,12 +5,14 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dandelionmill/base/overloaded.h"
 #include "dandelionmill/log/event.h"
 
 namespace dandelionmill::gateway {
 namespace {
 
 using nlohmann::json;
+using std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds kCallTimeout{600};
 
@@ -65,7 +67,7 @@
 
 void StreamRecords::AddMixedServices(storage::RowChange& change,
                                      base::MonoTime now) {
-  for (const base::ServiceId& service : versions_.MixedServices()) {
+  for (const base::ServiceId& service : service_versions_.MixedServices()) {
     base::MonoTime& written_at = service_row_written_at_[service];
     if (now - written_at < kServiceRowInterval)
       continue;
@@ -80,7 +82,7 @@
                             base::MonoTime now) {
   const base::ServiceId service = beginning.service;
   versions_.OnBegun(attempt, std::move(beginning), now);
-  if (!versions_.OnlyVersion(service, now))
+  if (service_versions_.IsMixed(service))
     SchedulePublish(now);
 }
 
@@ -92,7 +94,7 @@
     if (error)
       return;
     is_scheduled_ = false;
-    Publish(std::chrono::steady_clock::now());
+    Publish(steady_clock::now());
   });
 }
 
@@ -111,7 +113,7 @@
   AddMixedServices(change, now);
   std::vector<storage::RowChange::Put> streams = std::exchange(unwritten_, {});
   for (const StreamVersions::Begun& begun :
-       versions_.TakeUnshared(kMaxPuts, now)) {
+       versions_.TakeUnshared(kMaxPuts, service_versions_)) {
     const storage::RowKey key = StreamKey(begun.attempt);
     // An earlier row of the stream that was not written is outdated.
     streams.erase(std::remove_if(streams.begin(), streams.end(),
@@ -142,7 +144,7 @@
   table_.Commit(
       change, kCallTimeout, [this, change](storage::TableResponse answer) {
         is_writing_ = false;
-        const base::MonoTime at = std::chrono::steady_clock::now();
+        const base::MonoTime at = steady_clock::now();
         if (answer.store_time.count() != 0) {
           store_time_ = answer.store_time;
           store_time_received_at_ = at;
@@ -204,68 +206,92 @@
 void StreamRecords::Find(const base::AttemptId& attempt,
                          const base::ServiceId& service,
                          Handler handler) {
-  const base::MonoTime now = std::chrono::steady_clock::now();
   if (versions_.HasBegun(attempt)) {
     const auto version = versions_.VersionOf(attempt, base::BootClock::now());
     if (version)
       handler(Found{*version, Found::Source::kOwnStream});
     else
       handler(Unknown());
-  } else if (const auto only = versions_.OnlyVersion(service, now)) {
-    handler(Found{*only, Found::Source::kOnlyVersion});
-  } else {
-    FindInStore(attempt, service, std::move(handler));
+    return;
   }
+  version_records_.Judge(service, [this, attempt, service,
+                                   handler = std::move(handler)](
+                                      const VersionRecords::Result& result) {
+    const auto* judgement = std::get_if<ServiceVersions::Judgement>(&result);
+    if (judgement == nullptr) {
+      handler(StoreUnavailable());
+      return;
+    }
+    std::visit(base::Overloaded{[&](const ServiceVersions::Only& only) {
+                                  OnOnlyVersion(service, only.version, handler);
+                                },
+                                [&](const ServiceVersions::Several&) {
+                                  ReadStreamRow(attempt, Unknown(), handler);
+                                },
+                                [&](const ServiceVersions::Incomplete&) {
+                                  // The records will be complete soon.
+                                  ReadStreamRow(attempt, StoreUnavailable(),
+                                                handler);
+                                }},
+               *judgement);
+  });
 }
 
-void StreamRecords::FindInStore(const base::AttemptId& attempt,
-                                const base::ServiceId& service,
-                                Handler handler) {
-  table_.ReadRow(StreamKey(attempt), kCallTimeout,
-                 [this, service,
-                  handler = std::move(handler)](storage::TableResponse answer) {
-                   if (answer.outcome != storage::CallOutcome::kDone) {
-                     handler(StoreUnavailable());
-                     return;
-                   }
-                   if (!answer.rows.empty()) {
-                     const json value =
-                         json::parse(answer.rows.front().value, nullptr, false);
-                     if (value.is_object() && value.contains("version") &&
-                         value["version"].is_string()) {
-                       handler(Found{value["version"].get<std::string>(),
-                                     Found::Source::kRecord});
-                     } else {
-                       handler(Unknown());
-                     }
-                     return;
-                   }
-                   table_.ReadRow(
-                       ServiceKey(service), kCallTimeout,
-                       [this, service, handler](storage::TableResponse row) {
-                         OnServiceRow(service, row, handler);
-                       });
-                 });
+void StreamRecords::ReadStreamRow(const base::AttemptId& attempt,
+                                  Result if_missing,
+                                  Handler handler) {
+  table_.ReadRow(
+      StreamKey(attempt), kCallTimeout,
+      [if_missing = std::move(if_missing),
+       handler = std::move(handler)](const storage::TableResponse& answer) {
+        if (answer.outcome != storage::CallOutcome::kDone) {
+          handler(StoreUnavailable());
+          return;
+        }
+        if (answer.rows.empty()) {
+          handler(if_missing);
+          return;
+        }
+        const json value =
+            json::parse(answer.rows.front().value, nullptr, false);
+        if (value.is_object() && value.contains("version") &&
+            value["version"].is_string()) {
+          handler(Found{value["version"].get<std::string>(),
+                        Found::Source::kRecord});
+        } else {
+          handler(Unknown());
+        }
+      });
 }
 
-void StreamRecords::OnServiceRow(const base::ServiceId& service,
-                                 const storage::TableResponse& answer,
-                                 const Handler& handler) {
-  if (answer.outcome != storage::CallOutcome::kDone) {
-    handler(StoreUnavailable());
+void StreamRecords::OnOnlyVersion(const base::ServiceId& service,
+                                  const std::string& version,
+                                  Handler handler) {
+  const Found found{version, Found::Source::kOnlyVersion};
+  if (steady_clock::now() - started_at_ > StreamVersions::kMemory) {
+    handler(found);
     return;
   }
-  const bool was_mixed =
-      !answer.rows.empty() &&
-      answer.store_time - WrittenAt(json::parse(answer.rows.front().value,
-                                                nullptr, false)) <
-          kMixedMemory;
-  const auto version =
-      versions_.OnlyListedVersion(service, std::chrono::steady_clock::now());
-  if (was_mixed || !version)
-    handler(Unknown());
-  else
-    handler(Found{*version, Found::Source::kOnlyVersion});
+  // Streams may have begun before this process did, at instances whose software
+  // writes no records of versions.
+  table_.ReadRow(
+      ServiceKey(service), kCallTimeout,
+      [found,
+       handler = std::move(handler)](const storage::TableResponse& answer) {
+        if (answer.outcome != storage::CallOutcome::kDone) {
+          handler(StoreUnavailable());
+          return;
+        }
+        const bool was_mixed =
+            !answer.rows.empty() &&
+            answer.store_time - WrittenAt(json::parse(answer.rows.front().value,
+                                                      nullptr, false)) <
+                kMixedMemory;
+        if (was_mixed)
+          handler(Unknown());
+        else
+          handler(found);
+      });
 }
 
 }  // namespace dandelionmill::gateway
--- a/src/dandelionmill/gateway/stream_records.h
+++ b/src/dandelionmill/gateway/stream_records.h
@@ -13,7 +13,9 @@
 #include <vector>
 
 #include "dandelionmill/base/ids.h"
+#include "dandelionmill/gateway/service_versions.h"
 #include "dandelionmill/gateway/stream_versions.h"
+#include "dandelionmill/gateway/version_records.h"
 #include "dandelionmill/storage/async_table.h"
 
 namespace dandelionmill::gateway {
@@ -21,7 +23,8 @@
 // Shares with the other instances, and with later processes, at which software
 // version streams began, through a table of the store. Only streams of services
 // that may have several versions are written. A row of each such service says
-// when it last had several.
+// when it last had several, for instances whose software does not read
+// VersionRecords.
 class StreamRecords {
  public:
   static constexpr char kTable[] = "streams";
@@ -33,7 +36,7 @@
     enum class Source {
       // The stream began at this instance.
       kOwnStream,
-      // The service has had no other version.
+      // All streams of the service began at that version.
       kOnlyVersion,
       // Another instance or an earlier process has written it.
       kRecord,
@@ -50,11 +53,22 @@
   // Returns the name for logs, such as "own_stream".
   static const char* ToString(Found::Source source);
 
-  // `loop`, `versions` and `table` must outlive this.
-  StreamRecords(boost::asio::io_context& loop,
-                StreamVersions& versions,
-                storage::AsyncTable& table)
-      : versions_(versions), table_(table), timer_(loop) {}
+  // The parts of the process that are used. All must outlive this.
+  struct Parts {
+    boost::asio::io_context& loop;
+    StreamVersions& versions;
+    const ServiceVersions& service_versions;
+    VersionRecords& version_records;
+    storage::AsyncTable& table;
+  };
+
+  StreamRecords(Parts parts, base::MonoTime started_at)
+      : versions_(parts.versions),
+        service_versions_(parts.service_versions),
+        version_records_(parts.version_records),
+        table_(parts.table),
+        timer_(parts.loop),
+        started_at_(started_at) {}
 
   // Commands.
   // Shares the rate of transactions of the table among `instances`.
@@ -75,8 +89,8 @@
   void DeleteOldRows();
 
   // Query. Determines the version that began the stream of `attempt`, from this
-  // instance's knowledge or else from the store. The handler runs once, perhaps
-  // from within the call.
+  // instance's knowledge of its own streams or else from the store as it is
+  // after the call. The handler runs once, perhaps from within the call.
   void Find(const base::AttemptId& attempt,
             const base::ServiceId& service,
             Handler handler);
@@ -94,17 +108,23 @@
   // Calls Publish at the earliest time that the rate allows.
   void SchedulePublish(base::MonoTime now);
   void AddMixedServices(storage::RowChange& change, base::MonoTime now);
-  void FindInStore(const base::AttemptId& attempt,
-                   const base::ServiceId& service,
-                   Handler handler);
-  void OnServiceRow(const base::ServiceId& service,
-                    const storage::TableResponse& answer,
-                    const Handler& handler);
+  // `if_missing` is the result if there is no row of the stream.
+  void ReadStreamRow(const base::AttemptId& attempt,
+                     Result if_missing,
+                     Handler handler);
+  // All streams of the service have begun at `version`, as far as instances
+  // wrote records of versions.
+  void OnOnlyVersion(const base::ServiceId& service,
+                     const std::string& version,
+                     Handler handler);
   std::chrono::milliseconds EstimateStoreTime(base::MonoTime now) const;
 
   StreamVersions& versions_;
+  const ServiceVersions& service_versions_;
+  VersionRecords& version_records_;
   storage::AsyncTable& table_;
   boost::asio::steady_timer timer_;
+  const base::MonoTime started_at_;
   bool is_scheduled_ = false;
   bool is_writing_ = false;
   // Streams began while a transaction was in progress.
--- a/src/dandelionmill/gateway/stream_versions.h
+++ b/src/dandelionmill/gateway/stream_versions.h
@@ -6,29 +6,23 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "dandelionmill/base/boot_clock.h"
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/base/units.h"
+#include "dandelionmill/gateway/service_versions.h"
 
 namespace dandelionmill::gateway {
 
-// Knows at which software version of the backend servers a stream began, since
-// it may go on only there. While a service has one version, that is the one;
-// otherwise it is known of the streams that began at this instance. Pure.
+// Knows at which software version of the backend servers the streams of this
+// instance began, since they may go on only there. Pure.
 class StreamVersions {
  public:
   // Longest time from the first event of a stream to a resume of it: longer
   // than the time limits of callers.
-  static constexpr std::chrono::seconds kMemory{30};
-  // Longest time between two observations of the registry without which another
-  // version may have been listed unseen.
-  static constexpr std::chrono::milliseconds kMaxListAge{2500};
-  // The same of the past: covers one call to the registry whose answer is lost.
-  static constexpr std::chrono::milliseconds kMaxListGap{3500};
+  static constexpr std::chrono::seconds kMemory = ServiceVersions::kMemory;
   // Age from which the registry is not taken for current: more than the longest
   // time between two of its calls.
   static constexpr std::chrono::milliseconds kMaxRegistryAge{3000};
@@ -58,10 +52,6 @@
   };
 
   // Commands.
-  // The registry lists backend servers of these versions for the service.
-  void OnListed(const base::ServiceId& service,
-                const std::set<std::string>& versions,
-                base::MonoTime now);
   // The registry has been read as of `as_of`.
   void OnRegistryRead(base::BootTime as_of) { registry_as_of_ = as_of; }
   // The first event of a stream has arrived.
@@ -73,9 +63,10 @@
   // that began there on later connections is unknown.
   void OnVersionReplaced(const base::BackendId& backend,
                          base::BootTime read_at);
-  // Returns up to `max` streams that were not returned before and of whose
-  // service OnlyVersion is not known.
-  std::vector<Begun> TakeUnshared(std::size_t max, base::MonoTime now);
+  // Returns up to `max` streams that were not returned before and whose service
+  // has several versions.
+  std::vector<Begun> TakeUnshared(std::size_t max,
+                                  const ServiceVersions& services);
   // Forgets what is older than kMemory.
   void Expire(base::MonoTime now);
 
@@ -98,24 +89,8 @@
   bool IsListedSince(base::BootTime connected_at) const {
     return registry_as_of_ >= connected_at + kMaxListingDelay;
   }
-  // Returns the version if every stream of the service that can still be
-  // resumed began at it; nothing if that is not known.
-  std::optional<std::string> OnlyVersion(const base::ServiceId& service,
-                                         base::MonoTime now) const;
-  // Returns the version if it is the only one that was listed, no matter for
-  // how long.
-  std::optional<std::string> OnlyListedVersion(const base::ServiceId& service,
-                                               base::MonoTime now) const;
-  // Services with more than one version within kMemory.
-  std::vector<base::ServiceId> MixedServices() const;
 
  private:
-  struct Observed {
-    base::MonoTime since;
-    base::MonoTime last_observed;
-    // When each version was last listed.
-    std::map<std::string, base::MonoTime> last_listed;
-  };
   struct Stream {
     Beginning beginning;
     base::MonoTime begun_at;
@@ -123,7 +98,6 @@
   };
 
   base::BootTime registry_as_of_{};
-  std::map<base::ServiceId, Observed> services_;
   std::map<base::AttemptId, Stream> streams_;
   // The keys of `streams_` by the time of their beginning.
   std::deque<base::AttemptId> order_;
--- a/tests/unit/gateway/stream_versions_test.cc
+++ b/tests/unit/gateway/stream_versions_test.cc
@@ -2,16 +2,20 @@
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
 
 #include "dandelionmill/gateway/stream_records.h"
 #include "tests/support/fake_table.h"
 
 namespace base = dandelionmill::base;
+using dandelionmill::gateway::ServiceVersions;
 using dandelionmill::gateway::StreamRecords;
 using dandelionmill::gateway::StreamVersions;
+using dandelionmill::gateway::VersionRecords;
 using dandelionmill::storage::CallOutcome;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using std::chrono::steady_clock;
 
 namespace {
 
@@ -34,14 +38,23 @@
   return {kService, kBackend, std::move(version), connected_at, false};
 }
 
-// Lists `versions` each second of the given times.
-void List(StreamVersions& versions,
-          const std::set<std::string>& listed,
-          int from_s,
-          int to_s) {
-  for (int second = from_s; second <= to_s; ++second)
-    versions.OnListed(kService, listed, At(second * 1000));
-}
+// A process with an empty memory: what it knows comes from the registry and the
+// store.
+struct Process {
+  explicit Process(boost::asio::io_context& loop, tests::FakeTable& table)
+      : records({loop, streams, services, version_records, table},
+                steady_clock::now()),
+        version_records(loop, services, table, 1) {}
+
+  void List(const std::set<std::string>& versions) {
+    services.OnListed(kService, versions, steady_clock::now());
+  }
+
+  ServiceVersions services{steady_clock::now()};
+  StreamVersions streams;
+  StreamRecords records;
+  VersionRecords version_records;
+};
 
 struct RecordsFixture {
   boost::asio::io_context loop;
@@ -51,64 +64,54 @@
     loop.restart();
     loop.run();
   }
-  // Returns the version that a process without knowledge of its own finds, or
-  // why it finds none.
-  std::string Find(const std::set<std::string>& listed) {
-    StreamVersions versions;
-    versions.OnListed(kService, listed, std::chrono::steady_clock::now());
-    StreamRecords records(loop, versions, table);
+  // Starts a process and records the versions that it lists.
+  std::unique_ptr<Process> Start(const std::set<std::string>& listed) {
+    auto process = std::make_unique<Process>(loop, table);
+    process->List(listed);
+    process->version_records.Start();
+    Run();
+    return process;
+  }
+  // Returns the version that the process finds, or why it finds none.
+  std::string FindAt(Process& process) {
     std::string found;
-    records.Find(kAttempt, kService, [&](const StreamRecords::Result& result) {
-      if (const auto* version = std::get_if<StreamRecords::Found>(&result))
-        found = version->version;
-      else if (std::holds_alternative<StreamRecords::Unknown>(result))
-        found = "unknown";
-      else
-        found = "unavailable";
-    });
+    process.records.Find(
+        kAttempt, kService, [&](const StreamRecords::Result& result) {
+          if (const auto* version = std::get_if<StreamRecords::Found>(&result))
+            found = version->version;
+          else if (std::holds_alternative<StreamRecords::Unknown>(result))
+            found = "unknown";
+          else
+            found = "unavailable";
+        });
     Run();
     return found;
   }
+  // The same for a process that has just started and records nothing.
+  std::string Find(const std::set<std::string>& listed) {
+    Process process(loop, table);
+    process.List(listed);
+    return FindAt(process);
+  }
 };
 
 }  // namespace
 
-TEST_CASE("The only version of a service is known after a while", "[gateway]") {
-  StreamVersions versions;
-  CHECK_FALSE(versions.OnlyVersion(kService, At(0)));
-  List(versions, {"v1"}, 0, 30);
-  CHECK_FALSE(versions.OnlyVersion(kService, At(29000)));
-  CHECK(versions.OnlyVersion(kService, At(30000)) == "v1");
-  SECTION("not while another is listed, and for as long after it") {
-    List(versions, {"v1", "v2"}, 31, 31);
-    CHECK_FALSE(versions.OnlyVersion(kService, At(31000)));
-    CHECK(versions.MixedServices().size() == 1);
-    List(versions, {"v2"}, 32, 62);
-    versions.Expire(At(62000));
-    CHECK(versions.OnlyVersion(kService, At(62000)) == "v2");
-    CHECK(versions.MixedServices().empty());
-  }
-  SECTION("not when the registry could not be read for a time") {
-    CHECK_FALSE(versions.OnlyVersion(kService, At(33000)));
-    List(versions, {"v1"}, 36, 40);
-    CHECK_FALSE(versions.OnlyVersion(kService, At(40000)));
-  }
-}
-
 TEST_CASE("Streams are shared once while their version may be unknown",
           "[gateway]") {
   StreamVersions versions;
-  List(versions, {"v1"}, 0, 30);
+  ServiceVersions services(At(0));
+  services.OnListed(kService, {"v1"}, At(30000));
   versions.OnBegun(kAttempt, Begun("v1"), At(30000));
   versions.OnRegistryRead(BootAt(30000));
   CHECK(versions.VersionOf(kAttempt, BootAt(30000)) == "v1");
-  CHECK(versions.TakeUnshared(10, At(30000)).empty());
-  versions.OnListed(kService, {"v1", "v2"}, At(30100));
-  const auto begun = versions.TakeUnshared(10, At(30100));
+  CHECK(versions.TakeUnshared(10, services).empty());
+  services.OnListed(kService, {"v1", "v2"}, At(30100));
+  const auto begun = versions.TakeUnshared(10, services);
   REQUIRE(begun.size() == 1);
   CHECK(begun[0].attempt == kAttempt);
   CHECK(begun[0].version == "v1");
-  CHECK(versions.TakeUnshared(10, At(30200)).empty());
+  CHECK(versions.TakeUnshared(10, services).empty());
   versions.Expire(At(61000));
   CHECK_FALSE(versions.HasBegun(kAttempt));
 }
@@ -118,7 +121,8 @@
 TEST_CASE("The version of streams that began around a restart is unknown",
           "[gateway]") {
   StreamVersions versions;
-  versions.OnListed(kService, {"v1", "v2"}, At(0));
+  ServiceVersions services(At(0));
+  services.OnListed(kService, {"v1", "v2"}, At(0));
   const base::BootTime read_at = BootAt(10000);
   versions.OnRegistryRead(read_at);
   const auto begin = [&](const char* attempt,
@@ -137,7 +141,7 @@
   auto elsewhere = Begun("v1", read_at + milliseconds(500));
   elsewhere.backend = base::BackendId("i-2");
   begin("elsewhere", elsewhere);
-  CHECK(versions.TakeUnshared(10, At(10000)).size() == 5);
+  CHECK(versions.TakeUnshared(10, services).size() == 5);
   versions.OnVersionReplaced(kBackend, read_at);
   CHECK(version_of("long before") == "v1");
   CHECK(version_of("before it was listed") == std::nullopt);
@@ -145,7 +149,7 @@
   CHECK(version_of("as reported") == "v1");
   CHECK(version_of("elsewhere") == "v1");
   // The other instances are told.
-  const auto unshared = versions.TakeUnshared(10, At(10000));
+  const auto unshared = versions.TakeUnshared(10, services);
   REQUIRE(unshared.size() == 2);
   CHECK_FALSE(unshared[0].version);
   CHECK_FALSE(unshared[1].version);
@@ -177,10 +181,10 @@
 TEST_CASE("Another process finds the version that began a stream",
           "[gateway]") {
   RecordsFixture fixture;
-  const auto now = std::chrono::steady_clock::now();
-  StreamVersions versions;
-  versions.OnListed(kService, {"v1", "v2"}, now);
-  StreamRecords records(fixture.loop, versions, fixture.table);
+  const auto now = steady_clock::now();
+  const auto process = fixture.Start({"v1", "v2"});
+  StreamVersions& versions = process->streams;
+  StreamRecords& records = process->records;
   SECTION("when it was written") {
     versions.OnBegun(kAttempt, Begun("v1"), now);
     const bool is_lost_at_first = GENERATE(false, true);
@@ -210,11 +214,90 @@
     fixture.Run();
     CHECK(fixture.Find({"v2"}) == "unknown");
   }
-  SECTION("and takes the only one if there were never several") {
-    CHECK(fixture.Find({"v2"}) == "v2");
-  }
   SECTION("and none while the store is out of reach") {
     fixture.table.FailAll(CallOutcome::kUnknown);
     CHECK(fixture.Find({"v2"}) == "unavailable");
   }
 }
+
+TEST_CASE("The only version that the store has a record of began the stream",
+          "[gateway]") {
+  RecordsFixture fixture;
+  const auto process = fixture.Start({"v2"});
+  CHECK(process->services.IsRecorded(kService, "v2"));
+  CHECK(fixture.Find({"v2"}) == "v2");
+  CHECK(fixture.Find({}) == "v2");
+  // The finder lists another one, which is not recorded yet.
+  CHECK(fixture.Find({"v3"}) == "unknown");
+}
+
+// Guards against streams that go on at the only version of an old list although
+// they began at another instance, at a version that was listed there meanwhile.
+TEST_CASE("A version that another instance has recorded counts at once",
+          "[gateway]") {
+  RecordsFixture fixture;
+  const auto outdated = fixture.Start({"v1"});
+  CHECK(fixture.FindAt(*outdated) == "v1");
+  const auto current = fixture.Start({"v1", "v2"});
+  CHECK(current->services.IsRecorded(kService, "v2"));
+  CHECK(fixture.FindAt(*outdated) == "unknown");
+  SECTION("also for one that cannot read the records") {
+    fixture.table.FailAll(CallOutcome::kNotPerformed);
+    CHECK(fixture.FindAt(*outdated) == "unavailable");
+  }
+}
+
+// Guards against streams that begin at a version of which no other instance can
+// know.
+TEST_CASE("A version is recorded only once the store has acknowledged it",
+          "[gateway]") {
+  RecordsFixture fixture;
+  const auto process = fixture.Start({"v1"});
+  process->List({"v1", "v2"});
+  CHECK_FALSE(process->services.IsRecorded(kService, "v2"));
+  fixture.table.FailAll(CallOutcome::kNotPerformed);
+  process->version_records.Update(steady_clock::now());
+  fixture.Run();
+  CHECK_FALSE(process->services.IsRecorded(kService, "v2"));
+  CHECK(process->services.IsRecorded(kService, "v1"));
+  fixture.table.FailAll(std::nullopt);
+  fixture.table.LoseNextCommit(true);
+  process->version_records.Update(steady_clock::now());
+  fixture.Run();
+  CHECK_FALSE(process->services.IsRecorded(kService, "v2"));
+  process->version_records.Update(steady_clock::now());
+  fixture.Run();
+  CHECK(process->services.IsRecorded(kService, "v2"));
+}
+
+// Guards against streams that go on at the only version of a store that was
+// restored from a copy without the record of the other one.
+TEST_CASE(
+    "A restored store shows no only version until its records are renewed",
+    "[gateway]") {
+  RecordsFixture fixture;
+  const auto process = fixture.Start({"v1"});
+  fixture.table.TakeCopy();
+  process->List({"v1", "v2"});
+  process->version_records.Update(steady_clock::now());
+  fixture.Run();
+  fixture.table.Restore();
+  CHECK(fixture.Find({"v1"}) == "unavailable");
+  process->services.OnStoreRestored(1, steady_clock::now());
+  CHECK_FALSE(process->services.IsRecorded(kService, "v2"));
+  process->version_records.Update(steady_clock::now());
+  fixture.Run();
+  CHECK(process->services.IsRecorded(kService, "v1"));
+  CHECK(process->services.IsRecorded(kService, "v2"));
+  CHECK(fixture.Find({"v1"}) == "unknown");
+}
+
+TEST_CASE("A malformed record of a version leaves streams without a version",
+          "[gateway]") {
+  RecordsFixture fixture;
+  const auto process = fixture.Start({"v1"});
+  const std::string value = GENERATE("", "[]", "{}", "{\"service\":1}",
+                                     R"({"service":"model","version":2})");
+  fixture.table.Put(VersionRecords::kTable, "", "1", value);
+  CHECK(fixture.Find({"v1"}) == "unavailable");
+}
