Take no message of an unknown kind for the answer to a loan

Seen: an instance that waits for a loan takes any datagram with its number and `tokens` for the answer, whatever its kind: 500 tokens that nobody lent were credited (unit_peer "A message of an unknown kind is not taken for an answer", failing before). Fractions and 1e300 were read as some integer, and a negative amount was dropped without a log line.

Cause: what is no gift, request or pending notice was an answer.

A message is now decoded into one of four kinds, each known by its own field; answers have had `exhausted` since before. Anything else, and a field of another type, is rejected with datagram_rejected and the reason. A missing or wrong flag of an answer counts as false, so that tokens that were deducted are still credited.

--- a/src/dandelionmill/peer/lending_port.cc
+++ b/src/dandelionmill/peer/lending_port.cc
@@ -1,9 +1,13 @@
 #include "dandelionmill/peer/lending_port.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <utility>
+#include <variant>
 
+#include "dandelionmill/base/json_numbers.h"
+#include "dandelionmill/base/overloaded.h"
 #include "dandelionmill/log/event.h"
 
 namespace dandelionmill::peer {
@@ -31,6 +35,83 @@
 // Number of received requests remembered: those of one second at a busy owner.
 constexpr std::size_t kMaxReceivedRequests = 512;
 
+struct Gift {
+  base::AccountId account;
+  base::Tokens tokens = 0;
+};
+struct ReceivedLoanRequest {
+  std::uint64_t id = 0;
+  LendingPort::LoanRequest request;
+};
+struct PendingNotice {
+  std::uint64_t id = 0;
+};
+struct ReceivedAnswer {
+  std::uint64_t id = 0;
+  LendingPort::Answer answer;
+};
+using Message =
+    std::variant<Gift, ReceivedLoanRequest, PendingNotice, ReceivedAnswer>;
+
+base::Error MalformedMessage(const std::string& detail) {
+  return {base::Code::kMalformedMessage, detail};
+}
+
+// Returns nullopt if the field is missing or has another type.
+std::optional<std::string> ReadText(const json& message, const char* name) {
+  const auto found = message.find(name);
+  if (found == message.end() || !found->is_string())
+    return std::nullopt;
+  return found->get<std::string>();
+}
+
+std::optional<bool> ReadFlag(const json& message, const char* name) {
+  const auto found = message.find(name);
+  if (found == message.end() || !found->is_boolean())
+    return std::nullopt;
+  return found->get<bool>();
+}
+
+// Fails with kMalformedMessage. The kind of a message is known by the field
+// that no other kind has; a message without any of these is of a kind that
+// another version of this program sends, and must not be taken for an answer.
+base::Result<Message> DecodeMessage(const std::string& text) {
+  const json message = json::parse(text, nullptr, false);
+  if (!message.is_object())
+    return MalformedMessage("not a JSON object");
+  const auto number = base::ToJsonInteger(message.value("number", json()));
+  if (!number)
+    return MalformedMessage("field \"number\" is missing or wrong");
+  const auto tokens = base::ToJsonInteger(message.value("tokens", json()));
+  if (!tokens)
+    return MalformedMessage("field \"tokens\" is missing or wrong");
+  const auto id = static_cast<std::uint64_t>(*number);
+  if (message.contains("gift_for")) {
+    const auto account = ReadText(message, "gift_for");
+    if (!account)
+      return MalformedMessage("field \"gift_for\" is wrong");
+    return Message(Gift{base::AccountId(*account), *tokens});
+  }
+  if (message.contains("account")) {
+    const auto account = ReadText(message, "account");
+    const auto may_draw = ReadFlag(message, "may_draw");
+    if (!account || !may_draw)
+      return MalformedMessage(
+          "field \"account\" or \"may_draw\" is missing or wrong");
+    return Message(ReceivedLoanRequest{
+        id, {base::AccountId(*account), *tokens, *may_draw}});
+  }
+  if (message.contains("pending"))
+    return Message(PendingNotice{id});
+  if (message.contains("exhausted")) {
+    return Message(
+        ReceivedAnswer{id,
+                       {*tokens, ReadFlag(message, "exhausted").value_or(false),
+                        true, ReadFlag(message, "drawing").value_or(false)}});
+  }
+  return MalformedMessage("unknown kind of message");
+}
+
 }  // namespace
 
 LendingPort::LendingPort(asio::io_context& loop,
@@ -79,29 +160,25 @@
 }
 
 void LendingPort::OnDatagram(const std::string& text) {
-  const json message = json::parse(text, nullptr, false);
-  try {
-    const auto id = message.at("number").get<std::uint64_t>();
-    const auto tokens = message.at("tokens").get<base::Tokens>();
-    if (tokens < 0)
-      return;
-    if (message.contains("gift_for")) {
-      unclaimed_handler_(
-          base::AccountId(message["gift_for"].get<std::string>()), tokens);
-    } else if (message.contains("account")) {
-      OnRequest(id, {base::AccountId(message["account"].get<std::string>()),
-                     tokens, message.at("may_draw").get<bool>()});
-    } else if (message.contains("pending")) {
-      OnPending(id);
-    } else {
-      OnAnswer(id, {tokens, message.value("exhausted", false), true,
-                    message.value("drawing", false)});
-    }
-  } catch (const json::exception& error) {
+  const auto message = DecodeMessage(text);
+  if (!base::IsOk(message)) {
     log::Event(log::Level::kWarning, "datagram_rejected")
         .With("from", sender_)
-        .With("reason", error.what());
+        .With("reason", base::ErrorOf(message).detail);
+    return;
   }
+  std::visit(base::Overloaded{
+                 [this](const Gift& gift) {
+                   unclaimed_handler_(gift.account, gift.tokens);
+                 },
+                 [this](const ReceivedLoanRequest& received) {
+                   OnRequest(received.id, received.request);
+                 },
+                 [this](const PendingNotice& notice) { OnPending(notice.id); },
+                 [this](const ReceivedAnswer& received) {
+                   OnAnswer(received.id, received.answer);
+                 }},
+             base::ValueOf(message));
 }
 
 LendingPort::ReceivedRequest* LendingPort::FindReceivedRequest(
