Write fields of a total that this build does not know again

Seen: all instances write an account's total.

The unknown fields are kept as JSON text with the row and are written as they were read.

--- a/src/dandelionmill/prepaid/rows.cc
+++ b/src/dandelionmill/prepaid/rows.cc
@@ -99,6 +99,18 @@
   return contributions;
 }
 
+std::map<std::string, std::string> ReadUnknownFields(const json& object) {
+  static const std::set<std::string> kKnown = {
+      "drawn",           "era",         "completed_era",
+      "written_off_era", "written_off", "contributions"};
+  std::map<std::string, std::string> fields;
+  for (const auto& [name, value] : object.items()) {
+    if (kKnown.count(name) == 0)
+      fields[name] = value.dump();
+  }
+  return fields;
+}
+
 std::map<base::AccountId, HolderShare> ReadShares(const json& object) {
   std::map<base::AccountId, HolderShare> shares;
   for (const auto& [account, value] : RequireObject(object, "shares").items()) {
@@ -142,6 +154,8 @@
                  {"written_off_era", row.written_off_era},
                  {"written_off", row.written_off},
                  {"contributions", std::move(contributions)}};
+  for (const auto& [name, text] : row.unknown_fields)
+    object.emplace(name, json::parse(text, nullptr, false));
   return object.dump();
 }
 
@@ -178,6 +192,7 @@
     row.written_off = ReadCountOr0(object, "written_off");
     if (object.contains("contributions"))
       row.contributions = ReadContributions(object["contributions"]);
+    row.unknown_fields = ReadUnknownFields(object);
     return row;
   } catch (const DecodeError& error) {
     return MalformedRow(error.detail);
--- a/src/dandelionmill/prepaid/rows.h
+++ b/src/dandelionmill/prepaid/rows.h
@@ -49,6 +49,9 @@
   base::Tokens written_off = 0;
   // The latest contributions to `drawn` by process.
   std::map<std::string, Contribution> contributions;
+  // Fields of a later version of this program by name, as JSON text. They are
+  // written again as they were read, since all instances write the same row.
+  std::map<std::string, std::string> unknown_fields;
 };
 
 // Tokens of one account that an instance holds, and the limits on their use.
