Treat a holder row that cannot be read as an unknown predecessor's

Seen: after a drill, the successor of a process whose holder row cannot be read (another build's, on the way back) drew from an account as if no predecessor had held any of it: reserved, where the readable row makes it wait and writes off what may have been used (unit_prepaid "A holder row that cannot be read is one of an unknown predecessor", failing before). Tokens could be given out twice.

Cause: the row was logged and then taken for a missing one.

It now counts as a row of an unknown process, of no era, that lists all accounts and allows nothing. While the store has its history, nothing changes but that the totals are read once; if it was ever restored, accounts that the fleet has not opened in its era are settled first. What such a process held is not recovered, as before.

--- a/src/dandelionmill/prepaid/token_pool.cc
+++ b/src/dandelionmill/prepaid/token_pool.cc
@@ -407,7 +407,10 @@
   const auto decoded = DecodeHolderRow(row.value);
   if (!base::IsOk(decoded)) {
     log::Event(log::Level::kError, "prepaid_row_unreadable")
+        .With("instance", instance_)
         .With(base::ErrorOf(decoded));
+    if (!has_stored_row_)
+      RecoverFromPredecessor(UnknownPredecessorRow());
     return;
   }
   const HolderRow& stored = base::ValueOf(decoded);
@@ -428,6 +431,13 @@
   }
 }
 
+HolderRow TokenPool::UnknownPredecessorRow() const {
+  HolderRow row;
+  for (const auto& [account, prepaid] : prepaid_)
+    row.shares[account] = HolderShare();
+  return row;
+}
+
 void TokenPool::RecoverFromPredecessor(const HolderRow& stored) {
   const bool is_outdated = stored.era < era_.value_or(0);
   base::Tokens uncommitted = 0;
--- a/src/dandelionmill/prepaid/token_pool.h
+++ b/src/dandelionmill/prepaid/token_pool.h
@@ -208,6 +208,9 @@
   // Reads the totals that are needed to complete them.
   void ReadMissingTotals();
   void RecoverFromPredecessor(const HolderRow& stored);
+  // A row that allows nothing and lists all accounts, for one that cannot be
+  // decoded.
+  HolderRow UnknownPredecessorRow() const;
   void OnProposalStored(const Ledger::Proposal& proposal);
   void OnCommitConflict(const Ledger::Proposal& proposal,
                         const Totals& totals,
--- a/tests/unit/prepaid/unreadable_rows_test.cc
+++ b/tests/unit/prepaid/unreadable_rows_test.cc
@@ -83,3 +83,42 @@
         nlohmann::json::parse(R"({"a":[1,"x"]})"));
   CHECK(total.contains("also_later"));
 }
+
+// Guards against tokens that are given out twice since the only row that shows
+// that a process drew them is of another build and was taken for none.
+TEST_CASE("A holder row that cannot be read is one of an unknown predecessor",
+          "[prepaid]") {
+  Fixture fixture;
+  const tests::LogCapture log;
+  fixture.table.Put("prepaid", "instance:front-1", "holder",
+                    R"({"process":"front-1/a","shares":[["painters",5]]})");
+  SECTION(
+      "which nothing needs to be known of while the store has its history") {
+    auto pool = fixture.Start("front-1/b");
+    CHECK(fixture.Reserve(*pool, kAccount, 1000) == ReserveOutcome::kReserved);
+  }
+  SECTION("so that an account of a restored store is settled first") {
+    fixture.PutTotal(R"({"drawn":10})");
+    fixture.table.TakeCopy();
+    fixture.table.Restore();
+    auto pool = fixture.Start("front-1/b");
+    pool->SetFleetSettledEra(1);
+    fixture.Run(2600);
+    pool->Tick();
+    CHECK(fixture.Reserve(*pool, kAccount, 1000) ==
+          ReserveOutcome::kUnavailable);
+    CHECK(log.Count("event=prepaid_settled account=painters") == 1);
+  }
+  SECTION("but not one that the fleet has opened since") {
+    fixture.PutTotal(R"({"drawn":10,"era":1})");
+    fixture.table.TakeCopy();
+    fixture.table.Restore();
+    auto pool = fixture.Start("front-1/b");
+    pool->SetFleetSettledEra(1);
+    fixture.Run(2600);
+    pool->Tick();
+    CHECK(fixture.Reserve(*pool, kAccount, 1000) == ReserveOutcome::kReserved);
+    CHECK(log.Count("event=prepaid_settled account=painters") == 0);
+  }
+  CHECK(log.Count("event=prepaid_row_unreadable instance=front-1") == 1);
+}
