Leave a stored total that cannot be read as it is

Seen (unit_prepaid, failing before): - An unreadable total of one account keeps the tokens of the others from being drawn: a reservation from another account ends as unavailable, and at shutdown its tokens are not returned. - It counts as one from which nothing was drawn: undrawn 100,000 of 100,000. - The successor of a process that held some of it reads the total as fast as the store answers: 10,438 reads and 10,436 log lines in half a second against a table in memory.

Cause: a conflict resets the totals of the transaction to none drawn and known, and the unreadable one stayed so; each later transaction contained it again and failed as a whole. A total that is needed and not known was read again with each answer.

Such a total is now marked: no tokens are moved from it or to it, at shutdown they stay in the holder row, and it is read again once a second. Undrawn is 0 until it can be read. Reads in the same half second: at most 2.

--- a/src/dandelionmill/prepaid/ledger.cc
+++ b/src/dandelionmill/prepaid/ledger.cc
@@ -167,7 +167,9 @@
   std::map<base::AccountId, base::Tokens> moves;
   std::map<base::AccountId, base::Tokens> pending_tokens;
   for (const AccountView& view : accounts) {
-    const base::Tokens move = TokensToMove(shares_[view.account], view, now);
+    const base::Tokens move =
+        view.may_change_total ? TokensToMove(shares_[view.account], view, now)
+                              : 0;
     if (move != 0)
       moves[view.account] = move;
     pending_tokens[view.account] = view.pending_tokens;
@@ -202,11 +204,13 @@
   return proposal;
 }
 
-Ledger::Proposal Ledger::ProposeReturn(std::chrono::milliseconds store_time) {
+Ledger::Proposal Ledger::ProposeReturn(std::chrono::milliseconds store_time,
+                                       const std::set<base::AccountId>& kept) {
   Proposal proposal;
   proposal.row = MakeHolderRow(store_time);
   for (auto& [account, share] : shares_) {
-    const base::Tokens unused = share.held_drawn() + share.recovered;
+    const base::Tokens unused =
+        kept.count(account) != 0 ? 0 : share.held_drawn() + share.recovered;
     if (unused > 0) {
       proposal.moves[account] = -unused;
       share.returning += unused;
--- a/src/dandelionmill/prepaid/ledger.h
+++ b/src/dandelionmill/prepaid/ledger.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,9 @@
     base::Tokens pending_to_draw = 0;
     // Whether tokens may be drawn now.
     bool may_draw = true;
+    // Whether the stored total can be changed. It is not if the row cannot be
+    // decoded, as it may be another build's.
+    bool may_change_total = true;
   };
 
   // A change of the stored rows.
@@ -95,8 +99,9 @@
                    base::BootTime now,
                    std::optional<int> single_move_index = std::nullopt);
   // Creates a proposal that returns all unused tokens, for the shutdown of the
-  // process.
-  Proposal ProposeReturn(std::chrono::milliseconds store_time);
+  // process. Those of the accounts in `kept` stay in the holder row.
+  Proposal ProposeReturn(std::chrono::milliseconds store_time,
+                         const std::set<base::AccountId>& kept = {});
   // Applies a proposal that was stored; its answer was received at `now`.
   void OnStored(const Proposal& proposal, base::BootTime now);
   // Reverts a proposal that was not stored and can no longer be stored.
--- a/src/dandelionmill/prepaid/token_pool.cc
+++ b/src/dandelionmill/prepaid/token_pool.cc
@@ -40,6 +40,9 @@
 // it at the same time.
 constexpr std::size_t kMaxCompletedTotals = 10;
 
+// How often a stored total that cannot be decoded is read again.
+constexpr std::chrono::milliseconds kUnreadableRetryInterval{1000};
+
 // Time without a reservation after which borrowed tokens are given back.
 constexpr std::chrono::milliseconds kBorrowedIdleTime{1000};
 
@@ -124,6 +127,8 @@
     view.may_draw = IsOpen(account) &&
                     (view.is_owner ||
                      std::chrono::steady_clock::now() >= draws_paused_until_);
+    view.may_change_total =
+        total == totals_.end() || !total->second.unreadable_at;
     for (const Waiter& waiter : waiters_) {
       if (waiter.account != account)
         continue;
@@ -153,7 +158,7 @@
   ReadMissingTotals();
   Ledger::Proposal proposal =
       is_returning_
-          ? ledger_.ProposeReturn(EstimateStoreTime())
+          ? ledger_.ProposeReturn(EstimateStoreTime(), UnreadableTotals())
           : ledger_.Propose(
                 AccountViews(), EstimateStoreTime(), base::BootClock::now(),
                 consecutive_conflicts_ >= kConflictsUntilSingleAccount
@@ -470,11 +475,29 @@
     log::Event(log::Level::kError, "prepaid_row_unreadable")
         .With("account", account)
         .With(base::ErrorOf(decoded));
+    OnTotalUnreadable(base::AccountId(account));
     return;
   }
   UpdateTotal(base::AccountId(account), row.version, base::ValueOf(decoded));
 }
 
+void TokenPool::OnTotalUnreadable(const base::AccountId& account) {
+  StoredTotal& total = totals_[account];
+  total.version = 0;
+  total.row = AccountRow();
+  total.is_known = false;
+  total.unreadable_at = std::chrono::steady_clock::now();
+}
+
+std::set<base::AccountId> TokenPool::UnreadableTotals() const {
+  std::set<base::AccountId> accounts;
+  for (const auto& [account, total] : totals_) {
+    if (total.unreadable_at)
+      accounts.insert(account);
+  }
+  return accounts;
+}
+
 void TokenPool::UpdateTotal(const base::AccountId& account,
                             std::uint64_t version,
                             const AccountRow& row) {
@@ -482,6 +505,7 @@
   total.version = version;
   total.row = row;
   total.is_known = true;
+  total.unreadable_at.reset();
   total.updated_at = std::chrono::steady_clock::now();
   recovered_row_.shares.erase(account);
   contributions_.Observe(account, row, era_.value_or(0));
@@ -564,9 +588,11 @@
                 predecessor_.unsettled().end());
   for (const auto& [account, share] : recovered_row_.shares)
     needed.push_back(account);
+  const std::set<base::AccountId> unreadable = UnreadableTotals();
+  needed.insert(needed.end(), unreadable.begin(), unreadable.end());
   for (const base::AccountId& account : needed) {
     const StoredTotal& total = totals_[account];
-    if (total.is_known)
+    if (total.is_known || IsReadPaused(total))
       continue;
     if (++reading > kMaxCompletedTotals)
       break;
@@ -574,6 +600,12 @@
   }
 }
 
+bool TokenPool::IsReadPaused(const StoredTotal& total) {
+  return total.unreadable_at &&
+         std::chrono::steady_clock::now() - *total.unreadable_at <
+             kUnreadableRetryInterval;
+}
+
 bool TokenPool::IsTotalFresh(const base::AccountId& account) const {
   const auto total = totals_.find(account);
   return total != totals_.end() && total->second.is_known &&
@@ -583,7 +615,7 @@
 
 void TokenPool::ReadTotal(const base::AccountId& account) {
   StoredTotal& total = totals_[account];
-  if (total.is_reading)
+  if (total.is_reading || IsReadPaused(total))
     return;
   total.is_reading = true;
   const storage::RowKey key = TotalKey(account);
@@ -683,7 +715,8 @@
 
 void TokenPool::CommitReturnProposal() {
   ++return_attempts_;
-  CommitProposal(ledger_.ProposeReturn(EstimateStoreTime()));
+  CommitProposal(
+      ledger_.ProposeReturn(EstimateStoreTime(), UnreadableTotals()));
 }
 
 }  // namespace dandelionmill::prepaid
--- a/src/dandelionmill/prepaid/token_pool.h
+++ b/src/dandelionmill/prepaid/token_pool.h
@@ -154,6 +154,8 @@
     // Time of the last answer of the store with this total.
     base::MonoTime updated_at{};
     bool is_reading = false;
+    // When the row was last read and could not be decoded; not set if it could.
+    std::optional<base::MonoTime> unreadable_at;
   };
   struct Waiter {
     std::uint64_t id;
@@ -231,8 +233,14 @@
   void UpdateTotal(const base::AccountId& account,
                    std::uint64_t version,
                    const AccountRow& row);
+  // Notes that the stored total cannot be decoded. It stays as it is, and
+  // nothing is drawn or returned until it can be.
+  void OnTotalUnreadable(const base::AccountId& account);
+  std::set<base::AccountId> UnreadableTotals() const;
   void ReadTotal(const base::AccountId& account);
   bool IsTotalFresh(const base::AccountId& account) const;
+  // Whether the row could not be decoded, and was read just now.
+  static bool IsReadPaused(const StoredTotal& total);
   // Resolves waiters, then continues the return of tokens or a deferred tick.
   void ContinueAfterCommit();
   void CommitReturnProposal();
--- a/tests/unit/prepaid/unreadable_rows_test.cc
+++ b/tests/unit/prepaid/unreadable_rows_test.cc
@@ -122,3 +122,62 @@
   }
   CHECK(log.Count("event=prepaid_row_unreadable instance=front-1") == 1);
 }
+
+// Guards against a total that cannot be read and counts as one of which nothing
+// was drawn.
+TEST_CASE("A total that cannot be read is left as it is until it can be",
+          "[prepaid]") {
+  Fixture fixture;
+  fixture.PutTotal(kUnreadableTotal);
+  auto pool = fixture.Start("front-1/a");
+  CHECK(fixture.Reserve(*pool, kAccount, 1000) == ReserveOutcome::kUnavailable);
+  CHECK(pool->Undrawn(kAccount) == 0);
+  CHECK(fixture.Total() == kUnreadableTotal);
+  CHECK(fixture.Reserve(*pool, kOther, 1000) == ReserveOutcome::kReserved);
+  SECTION("and drawn from once another build has written it anew") {
+    fixture.PutTotal(R"({"drawn":60000})");
+    fixture.Run(1100);
+    pool->Tick();
+    fixture.Run();
+    CHECK(fixture.Reserve(*pool, kAccount, 1000) == ReserveOutcome::kReserved);
+    CHECK(fixture.Reserve(*pool, kAccount, 39001) ==
+          ReserveOutcome::kExhausted);
+  }
+  SECTION("while the tokens of other accounts are returned at shutdown") {
+    bool is_returned = false;
+    pool->Settle(kOther, 1000, 1000);
+    pool->ReturnAll([&] { is_returned = true; });
+    fixture.Run(100);
+    CHECK(is_returned);
+    CHECK(fixture.Total() == kUnreadableTotal);
+    const auto other = dandelionmill::prepaid::DecodeAccountRow(
+        fixture.table.Value("prepaid", "account:sculptors", "total"));
+    REQUIRE(dandelionmill::base::IsOk(other));
+    CHECK(dandelionmill::base::ValueOf(other).drawn == 1000);
+  }
+}
+
+// Guards against reads of the store and log lines at the rate of its answers.
+TEST_CASE("A total that cannot be read is read about once a second",
+          "[prepaid]") {
+  Fixture fixture;
+  {
+    auto first = fixture.Start("front-1/a");
+    REQUIRE(fixture.Reserve(*first, kAccount, 1000) ==
+            ReserveOutcome::kReserved);
+    first->Tick();
+    fixture.Run();
+    fixture.table.DropCalls();
+  }
+  fixture.PutTotal(kUnreadableTotal);
+  const tests::LogCapture log;
+  const int reads_before = fixture.table.reads();
+  auto second = fixture.Start("front-1/b");
+  for (int i = 0; i < 10; ++i) {
+    second->Tick();
+    fixture.Run(50);
+  }
+  CHECK(fixture.table.reads() - reads_before <= 2);
+  CHECK(log.Count("event=prepaid_row_unreadable account=painters") >= 1);
+  CHECK(log.Count("event=prepaid_row_unreadable account=painters") <= 3);
+}
