Log a heartbeat that cannot be read, with its fields

Seen: an instance whose heartbeat has no address that can be read is left out of lending and relaying, and a configuration version, era or zone of another type counts as missing, all without a log line (unit_gateway "A heartbeat that cannot be read is logged once and still counted", "A field of a heartbeat with another type counts as missing", failing before).

heartbeat_malformed now names the instance and the fields, once until they change. What such a row counts as does not change: the instance shares the limits, and the fleet is not settled without its era.

--- a/src/dandelionmill/gateway/fleet_members.cc
+++ b/src/dandelionmill/gateway/fleet_members.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "dandelionmill/base/json_numbers.h"
 #include "dandelionmill/log/event.h"
 
 namespace dandelionmill::gateway {
@@ -16,28 +17,55 @@
 constexpr std::chrono::milliseconds kCallTimeout{600};
 
 struct Heartbeat {
-  peer::Instance peer;
+  // Not set if the address is missing or malformed.
+  std::optional<peer::Instance> peer;
   FleetMembers::State state;
+  // The fields that are missing or have another type, for logs; empty if none.
+  std::string problem;
 };
 
-// Returns nullopt if the row is malformed.
-std::optional<Heartbeat> DecodeHeartbeat(const std::string& instance,
-                                         const std::string& text) {
+Heartbeat DecodeHeartbeat(const std::string& instance,
+                          const std::string& text) {
+  Heartbeat heartbeat;
   const json row = json::parse(text, nullptr, false);
-  if (!row.is_object() || !row.contains("peer") || !row["peer"].is_string())
-    return std::nullopt;
-  const auto address = net::ParseAddress(row["peer"].get<std::string>());
-  if (!base::IsOk(address))
-    return std::nullopt;
-  Heartbeat heartbeat{
-      {base::InstanceId(instance), base::ValueOf(address), base::ZoneId()}, {}};
-  // An earlier version of this program does not report its zone.
+  if (!row.is_object()) {
+    heartbeat.problem = "not a JSON object";
+    return heartbeat;
+  }
+  const auto add_problem = [&heartbeat](const char* name) {
+    heartbeat.problem += heartbeat.problem.empty() ? "" : ",";
+    heartbeat.problem += name;
+  };
+  // Returns the field if it is there; an earlier version of this program does
+  // not write all of them.
+  const auto optional_count =
+      [&](const char* name) -> std::optional<std::uint64_t> {
+    if (!row.contains(name))
+      return std::nullopt;
+    const auto count = base::ToJsonInteger(row[name]);
+    if (!count) {
+      add_problem(name);
+      return std::nullopt;
+    }
+    return static_cast<std::uint64_t>(*count);
+  };
+  heartbeat.state.config_version = optional_count("config").value_or(0);
+  heartbeat.state.settled_era = optional_count("era");
+  base::ZoneId zone;
   if (row.contains("zone") && row["zone"].is_string())
-    heartbeat.peer.zone = base::ZoneId(row["zone"].get<std::string>());
-  if (row.contains("config") && row["config"].is_number_unsigned())
-    heartbeat.state.config_version = row["config"].get<base::ConfigVersion>();
-  if (row.contains("era") && row["era"].is_number_unsigned())
-    heartbeat.state.settled_era = row["era"].get<std::uint64_t>();
+    zone = base::ZoneId(row["zone"].get<std::string>());
+  else if (row.contains("zone"))
+    add_problem("zone");
+  const auto address = row.contains("peer") && row["peer"].is_string()
+                           ? net::ParseAddress(row["peer"].get<std::string>())
+                           : base::Result<net::Address>(base::Error{
+                                 base::Code::kMalformedMessage, "no address"});
+  if (base::IsOk(address)) {
+    heartbeat.peer = peer::Instance{base::InstanceId(instance),
+                                    base::ValueOf(address), zone};
+  } else {
+    add_problem("peer");
+  }
   return heartbeat;
 }
 
@@ -149,11 +177,18 @@
       heartbeat.changed_at = now - kMemberTimeout;
     else if (!is_restored && heartbeat.version != row.version)
       heartbeat.changed_at = now;
-    const auto decoded = DecodeHeartbeat(row.key.key, row.value);
+    const Heartbeat decoded = DecodeHeartbeat(row.key.key, row.value);
+    if (!decoded.problem.empty() && decoded.problem != heartbeat.problem) {
+      log::Event(log::Level::kWarning, "heartbeat_malformed")
+          .With("instance", row.key.key)
+          .With("fields", decoded.problem)
+          .With("is_addressed", decoded.peer.has_value());
+    }
+    heartbeat.problem = decoded.problem;
     // A restored row is older than what is known.
     if (!is_restored || !is_known) {
-      heartbeat.peer = decoded ? std::optional(decoded->peer) : std::nullopt;
-      heartbeat.state = decoded ? decoded->state : State();
+      heartbeat.peer = decoded.peer;
+      heartbeat.state = decoded.state;
     }
     heartbeat.version = row.version;
     heartbeat.is_lost = false;
--- a/src/dandelionmill/gateway/fleet_members.h
+++ b/src/dandelionmill/gateway/fleet_members.h
@@ -89,6 +89,8 @@
     // Not set if the row is malformed.
     std::optional<peer::Instance> peer;
     State state;
+    // The fields of the last row that could not be read, as logged.
+    std::string problem;
     // The restored store lacks the row.
     bool is_lost = false;
     // The fleet is not settled before without this instance.
--- a/tests/unit/gateway/fleet_members_test.cc
+++ b/tests/unit/gateway/fleet_members_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "tests/support/fake_table.h"
+#include "tests/support/log_capture.h"
 
 namespace peer = dandelionmill::peer;
 using dandelionmill::gateway::FleetMembers;
@@ -159,3 +160,58 @@
   fixture.loop.run_for(std::chrono::milliseconds(300));
   CHECK(fixture.others.size() == 1);
 }
+
+TEST_CASE("A heartbeat is read without the fields that this build lacks",
+          "[gateway]") {
+  Fixture fixture;
+  const tests::LogCapture log;
+  SECTION("as a later build may write it") {
+    fixture.table.Put("instances", "", "front-2",
+                      R"({"process":"front-2/b","peer":"127.0.0.1:7002",)"
+                      R"("zone":"a","config":9,"later":{"x":[1]}})");
+  }
+  SECTION("as the build 9045e41 writes it, without a zone") {
+    fixture.table.Put("instances", "", "front-2",
+                      R"({"process":"front-2/b","peer":"127.0.0.1:7002",)"
+                      R"("config":9})");
+  }
+  fixture.Tick();
+  CHECK(fixture.count == 2);
+  REQUIRE(fixture.others.size() == 1);
+  CHECK(fixture.newest_config == 9);
+  CHECK(log.Count("event=heartbeat_malformed") == 0);
+}
+
+// Guards against an instance that is left out of lending and relaying with
+// nothing to say why.
+TEST_CASE("A heartbeat that cannot be read is logged once and still counted",
+          "[gateway]") {
+  Fixture fixture;
+  const tests::LogCapture log;
+  const std::string value = GENERATE(
+      std::string("x"), std::string("[]"), std::string("{}"),
+      std::string(R"({"peer":7002})"), std::string(R"({"peer":"front-2:x"})"));
+  INFO(value);
+  for (int i = 0; i < 3; ++i) {
+    fixture.table.Put("instances", "", "front-2", value);
+    fixture.Tick();
+  }
+  CHECK(fixture.count == 2);
+  CHECK(fixture.others.empty());
+  CHECK_FALSE(fixture.settled_era);
+  CHECK(log.Count("event=heartbeat_malformed instance=front-2") == 1);
+}
+
+TEST_CASE("A field of a heartbeat with another type counts as missing",
+          "[gateway]") {
+  Fixture fixture;
+  const tests::LogCapture log;
+  fixture.table.Put("instances", "", "front-2",
+                    R"({"peer":"127.0.0.1:7002","config":"9","era":-1,)"
+                    R"("zone":5})");
+  fixture.Tick();
+  CHECK(fixture.others.size() == 1);
+  CHECK(fixture.newest_config == 0);
+  CHECK_FALSE(fixture.settled_era);
+  CHECK(log.Count("fields=config,era,zone") == 1);
+}
