Write rows whose key is not UTF-8

Seen: a change with such a key throws when it is encoded (unit_platform "A key that is not UTF-8 is written and read under the same name": invalid UTF-8 byte, failing before). Keys of the table "streams" contain the Attempt-Id that a caller sent, unchecked. The exception leaves the writer of these rows waiting for an answer that never comes, as read in its code (the flag is_writing_), so that the instance records no further stream; not played with whole processes.

Parts and keys that are not UTF-8 now have their other bytes escaped as %XX, in changes and in reads alike. All others are written as before, so that old and new builds agree on them.

--- a/src/dandelionmill/platform/store_messages.cc
+++ b/src/dandelionmill/platform/store_messages.cc
@@ -14,8 +14,42 @@
 using storage::CallOutcome;
 using storage::RowKey;
 
+bool IsUtf8(const std::string& text) {
+  try {
+    json(text).dump();
+    return true;
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+void AppendEscaped(char c, std::string& out) {
+  static const char kHexDigits[] = "0123456789ABCDEF";
+  const auto byte = static_cast<unsigned char>(c);
+  out += '%';
+  out += kHexDigits[byte >> 4];
+  out += kHexDigits[byte & 0xF];
+}
+
+// Returns `name` as JSON can carry it. Keys contain what callers send, such as
+// the id of an attempt, which need not be UTF-8.
+std::string ToStoreName(const std::string& name) {
+  if (IsUtf8(name))
+    return name;
+  std::string escaped;
+  for (const char c : name) {
+    if (static_cast<unsigned char>(c) < 0x80)
+      escaped += c;
+    else
+      AppendEscaped(c, escaped);
+  }
+  return escaped;
+}
+
 json EncodeKey(const RowKey& key) {
-  return {{"table", key.table}, {"part", key.part}, {"key", key.key}};
+  return {{"table", key.table},
+          {"part", ToStoreName(key.part)},
+          {"key", ToStoreName(key.key)}};
 }
 
 bool SpansMultipleParts(const storage::RowChange& change) {
@@ -36,17 +70,13 @@
 }
 
 std::string PercentEncode(const std::string& text) {
-  static const char kHexDigits[] = "0123456789ABCDEF";
   std::string escaped;
   for (const char c : text) {
     const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) || c == '-' || c == '_' || c == '.' || c == '~') {
+    if (std::isalnum(byte) || c == '-' || c == '_' || c == '.' || c == '~')
       escaped += c;
-    } else {
-      escaped += '%';
-      escaped += kHexDigits[byte >> 4];
-      escaped += kHexDigits[byte & 0xF];
-    }
+    else
+      AppendEscaped(c, escaped);
   }
   return escaped;
 }
@@ -142,9 +172,9 @@
                        const std::string& part,
                        const std::string& from_key) {
   std::string target = "/api/rows-get?table=" + PercentEncode(table) +
-                       "&part=" + PercentEncode(part);
+                       "&part=" + PercentEncode(ToStoreName(part));
   if (!from_key.empty())
-    target += "&from=" + PercentEncode(from_key);
+    target += "&from=" + PercentEncode(ToStoreName(from_key));
   return target;
 }
 
--- a/tests/unit/platform/store_messages_test.cc
+++ b/tests/unit/platform/store_messages_test.cc
@@ -77,3 +77,19 @@
   CHECK(platform::ReadTarget("t", "a b&c", "") ==
         "/api/rows-get?table=t&part=a%20b%26c");
 }
+
+// Guards against a caller's attempt id that ends the writing of all later rows
+// of streams: the change that held it threw.
+TEST_CASE("A key that is not UTF-8 is written and read under the same name",
+          "[platform]") {
+  const dandelionmill::storage::RowKey key{"streams", "", "stream a\xff\x80"};
+  dandelionmill::storage::RowChange change;
+  change.puts.push_back({key, "v"});
+  const auto body = nlohmann::json::parse(
+      dandelionmill::platform::EncodeChange(change), nullptr, false);
+  REQUIRE(body.is_object());
+  CHECK(body["put"][0]["key"] == "stream a%FF%80");
+  CHECK(dandelionmill::platform::ReadRowTarget(key) ==
+        dandelionmill::platform::ReadRowTarget(
+            {"streams", "", "stream a%FF%80"}));
+}
