Reject rows of the crash table with fields of another type

Seen: "requests": "x" was read as a list of one digest, null or an object as an empty one, a negative limit as the least one, a fraction as an incarnation (unit_gateway "A row of the crash table that cannot be read is rejected", 5 of its new rows were accepted before).

The fields are now checked; report_row_rejected has the reason, as for rows of an unknown kind. Limits of any size are accepted, and the number of instances that share one is bounded before it is converted: 1e300 does not fit. Unknown fields do not matter, which a new case shows.

--- a/src/dandelionmill/gateway/backend_reports.cc
+++ b/src/dandelionmill/gateway/backend_reports.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dandelionmill/base/json_numbers.h"
 #include "dandelionmill/base/overloaded.h"
 #include "dandelionmill/log/event.h"
 
@@ -31,6 +32,51 @@
 // of the store.
 constexpr std::size_t kMaxEntries = 300;
 
+// Thrown by the readers of fields; DecodeReportRow converts it to an Error.
+struct DecodeError {
+  std::string detail;
+};
+
+std::int64_t ReadInteger(const json& row, const char* name) {
+  const auto integer = base::ToJsonInteger(row.at(name));
+  if (!integer)
+    throw DecodeError{std::string("field \"") + name + "\" is no integer"};
+  return *integer;
+}
+
+// Other types would be read as a list with nothing or themselves in it.
+const json& ReadList(const json& row, const char* name) {
+  const json& list = row.at(name);
+  if (!list.is_array())
+    throw DecodeError{std::string("field \"") + name + "\" is no list"};
+  return list;
+}
+
+RequestLimits::Observation ReadLimit(const json& row) {
+  RequestLimits::Observation observation;
+  observation.backend = base::BackendId(row.at("backend").get<std::string>());
+  observation.incarnation = ReadInteger(row, "incarnation");
+  const json& limit = row.at("requests_per_s");
+  if (limit.is_null())
+    return observation;
+  const double requests_per_s = limit.is_number() ? limit.get<double>() : -1;
+  if (requests_per_s < 0)
+    throw DecodeError{"field \"requests_per_s\" is no rate"};
+  observation.requests_per_s = requests_per_s;
+  return observation;
+}
+
+CrashGuard::Report ReadReport(const json& row) {
+  CrashGuard::Report report;
+  report.backend = base::BackendId(row.at("backend").get<std::string>());
+  for (const json& digest : ReadList(row, "requests"))
+    report.digests.push_back(digest.get<std::string>());
+  for (const json& part : ReadList(row, "parts"))
+    report.parts.push_back(
+        {part.at("id").get<std::string>(), part.at("repeated").get<bool>()});
+  return report;
+}
+
 }  // namespace
 
 std::string EncodeReportRow(const ReportRow& row) {
@@ -70,32 +116,22 @@
 base::Result<ReportRow> DecodeReportRow(const std::string& value) {
   try {
     const json decoded = json::parse(value);
-    const std::string process = decoded.at("process").get<std::string>();
-    const auto number = decoded.value("number", std::uint64_t{0});
+    ReportRow row;
+    row.process = decoded.at("process").get<std::string>();
+    if (decoded.contains("number"))
+      row.number = static_cast<std::uint64_t>(ReadInteger(decoded, "number"));
     if (decoded.contains("answered_part")) {
-      return ReportRow{
-          process,
+      row.content =
           CrashGuard::Clearance{decoded["answered_part"].get<std::string>(),
-                                decoded.at("after_crashes").get<bool>()},
-          number};
-    }
-    if (decoded.contains("requests_per_s")) {
-      RequestLimits::Observation observation;
-      observation.backend =
-          base::BackendId(decoded.at("backend").get<std::string>());
-      observation.incarnation = decoded.at("incarnation").get<std::int64_t>();
-      if (!decoded["requests_per_s"].is_null())
-        observation.requests_per_s = decoded["requests_per_s"].get<double>();
-      return ReportRow{process, observation, number};
+                                decoded.at("after_crashes").get<bool>()};
+    } else if (decoded.contains("requests_per_s")) {
+      row.content = ReadLimit(decoded);
+    } else {
+      row.content = ReadReport(decoded);
     }
-    CrashGuard::Report report;
-    report.backend = base::BackendId(decoded.at("backend").get<std::string>());
-    for (const json& digest : decoded.at("requests"))
-      report.digests.push_back(digest.get<std::string>());
-    for (const json& part : decoded.at("parts"))
-      report.parts.push_back(
-          {part.at("id").get<std::string>(), part.at("repeated").get<bool>()});
-    return ReportRow{process, std::move(report), number};
+    return row;
+  } catch (const DecodeError& error) {
+    return base::Error{base::Code::kMalformedRequest, error.detail};
   } catch (const json::exception& problem) {
     return base::Error{base::Code::kMalformedRequest, problem.what()};
   }
--- a/src/dandelionmill/gateway/request_limits.cc
+++ b/src/dandelionmill/gateway/request_limits.cc
@@ -16,11 +16,15 @@
 // Delay of a request behind its earliest time that later ones make up for.
 constexpr milliseconds kMaxDelayMadeUp{50};
 
+// More instances than any fleet has; a limit from outside may be any number.
+constexpr double kMaxSharingInstances = 1e6;
+
 // Instances that share a limit of `requests_per_s`. Each may send one request
 // at any moment, so their number bounds the burst; it grows with the limit,
 // since the backend server tolerates a burst in proportion to it.
 std::size_t MaxSharingInstances(double requests_per_s) {
-  return 3 + static_cast<std::size_t>(2 * requests_per_s);
+  return 3 + static_cast<std::size_t>(
+                 std::min(2 * requests_per_s, kMaxSharingInstances));
 }
 
 base::MonoTime::duration Interval(double requests, double requests_per_s) {
--- a/tests/unit/gateway/backend_reports_test.cc
+++ b/tests/unit/gateway/backend_reports_test.cc
@@ -72,6 +72,17 @@
        {"", "front-1/x", "[]", "{}", R"({"process": 1})",
         R"({"process": "p", "backend": "b", "requests": [1], "parts": []})",
         R"({"process": "p", "backend": "b", "requests": [], "parts": [{}]})",
+        R"({"process": "p", "backend": "b", "requests": "x", "parts": []})",
+        R"({"process": "p", "backend": "b", "requests": {}, "parts": null})",
+        R"({"process": "p", "backend": "b", "engine_tired": true})",
+        R"({"process": "p", "number": -1, "answered_part": "aa",)"
+        R"( "after_crashes": true})",
+        R"({"process": "p", "backend": "b", "incarnation": 1.5,)"
+        R"( "requests_per_s": 1})",
+        R"({"process": "p", "backend": "b", "incarnation": 1,)"
+        R"( "requests_per_s": -1})",
+        R"({"process": "p", "backend": "b", "incarnation": 1,)"
+        R"( "requests_per_s": true})",
         R"({"process": "p", "answered_part": "aa"})",
         R"({"process": "p", "backend": "b", "requests_per_s": 1})"}) {
     INFO(value);
@@ -246,3 +257,16 @@
   CHECK_FALSE(limits.LimitOf(base::BackendId("i-1")));
   CHECK(table.Value("crashes", "", "limit i-1") == value(std::nullopt, 2));
 }
+
+TEST_CASE("A row of the crash table is read without its unknown fields",
+          "[gateway]") {
+  for (const char* value :
+       {R"({"process":"p","backend":"b","requests":[],"later":[1],)"
+        R"("parts":[{"id":"aa","repeated":true,"later":1}]})",
+        R"({"process":"p","answered_part":"aa","after_crashes":true,"x":{}})",
+        R"({"process":"p","backend":"b","incarnation":1,)"
+        R"("requests_per_s":1e300,"x":0})"}) {
+    INFO(value);
+    CHECK(base::IsOk(DecodeReportRow(value)));
+  }
+}
