--- a/tests/property/gateway/records_property.cc
+++ b/tests/property/gateway/records_property.cc
@@ -151,7 +151,7 @@
     loop.run();
     REQUIRE(views == i + 1);
     REQUIRE(view.count == 3);
-    REQUIRE(view.others.size() >= 1);
+    REQUIRE_FALSE(view.others.empty());
   }
 }
 
--- a/tests/support/log_capture.h
+++ b/tests/support/log_capture.h
@@ -23,7 +23,7 @@
     std::cerr.rdbuf(previous_);
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
-    root.addAppender(log4cplus::SharedAppenderPtr(new log4cplus::NullAppender));
+    root.addAppender(silent_);
   }
   LogCapture(const LogCapture&) = delete;
   LogCapture& operator=(const LogCapture&) = delete;
@@ -40,6 +40,7 @@
  private:
   std::ostringstream text_;
   std::streambuf* previous_;
+  log4cplus::SharedAppenderPtr silent_{new log4cplus::NullAppender};
 };
 
 }  // namespace tests
--- a/tests/unit/prepaid/rows_test.cc
+++ b/tests/unit/prepaid/rows_test.cc
@@ -3,11 +3,8 @@
 #include <catch2/catch.hpp>
 
 namespace base = dandelionmill::base;
-using dandelionmill::prepaid::AccountRow;
 using dandelionmill::prepaid::DecodeAccountRow;
 using dandelionmill::prepaid::DecodeHolderRow;
-using dandelionmill::prepaid::Encode;
-using dandelionmill::prepaid::HolderRow;
 
 namespace {
 
