Take only an account's total for its total

Seen: a read of an account's part of the table takes each row in it for the total, whatever its key, the last one being valid. The expected version of the row kept tokens from being drawn twice; while the store is away, the wrong total would decide whether an account is used up.

Rows with another key are left out, with prepaid_row_unknown once for each.

--- a/src/dandelionmill/prepaid/token_pool.cc
+++ b/src/dandelionmill/prepaid/token_pool.cc
@@ -481,6 +481,14 @@
   UpdateTotal(base::AccountId(account), row.version, base::ValueOf(decoded));
 }
 
+void TokenPool::LogUnknownRow(const storage::RowKey& key) {
+  if (!logged_unknown_rows_.insert(key.part + " " + key.key).second)
+    return;
+  log::Event(log::Level::kWarning, "prepaid_row_unknown")
+      .With("part", key.part)
+      .With("key", key.key);
+}
+
 void TokenPool::OnTotalUnreadable(const base::AccountId& account) {
   StoredTotal& total = totals_[account];
   total.version = 0;
@@ -625,10 +633,17 @@
                 if (!CheckEra(answer))
                   return;
                 if (answer.outcome == storage::CallOutcome::kDone) {
-                  if (answer.rows.empty())
-                    UpdateTotal(account, 0, AccountRow());
-                  for (const storage::VersionedRow& row : answer.rows)
+                  bool has_total = false;
+                  for (const storage::VersionedRow& row : answer.rows) {
+                    if (row.key.key != kTotalKey) {
+                      LogUnknownRow(row.key);
+                      continue;
+                    }
+                    has_total = true;
                     ApplyTotalRow(row);
+                  }
+                  if (!has_total)
+                    UpdateTotal(account, 0, AccountRow());
                 }
                 Tick();
                 ResolveWaiters();
--- a/src/dandelionmill/prepaid/token_pool.h
+++ b/src/dandelionmill/prepaid/token_pool.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -237,6 +238,8 @@
   // nothing is drawn or returned until it can be.
   void OnTotalUnreadable(const base::AccountId& account);
   std::set<base::AccountId> UnreadableTotals() const;
+  // Notes, once for each, a row of an account that another build may know.
+  void LogUnknownRow(const storage::RowKey& key);
   void ReadTotal(const base::AccountId& account);
   bool IsTotalFresh(const base::AccountId& account) const;
   // Whether the row could not be decoded, and was read just now.
@@ -281,6 +284,7 @@
   Ledger ledger_;
   std::map<base::AccountId, base::Tokens> prepaid_;
   std::map<base::AccountId, StoredTotal> totals_;
+  std::set<std::string> logged_unknown_rows_;
   Contributions contributions_;
   std::optional<std::uint64_t> era_;
   std::uint64_t fleet_settled_era_ = 0;
--- a/tests/unit/prepaid/unreadable_rows_test.cc
+++ b/tests/unit/prepaid/unreadable_rows_test.cc
@@ -181,3 +181,23 @@
   CHECK(log.Count("event=prepaid_row_unreadable account=painters") >= 1);
   CHECK(log.Count("event=prepaid_row_unreadable account=painters") <= 3);
 }
+
+// Guards against a row of another kind in an account's part of the table that
+// is taken for its total, from which nothing was drawn.
+TEST_CASE("A row of an unknown kind is not taken for an account's total",
+          "[prepaid]") {
+  Fixture fixture;
+  const tests::LogCapture log;
+  fixture.PutTotal(R"({"drawn":99500})");
+  fixture.table.Put("prepaid", "account:painters", "totals-by-zone",
+                    R"({"drawn":0})");
+  auto pool = fixture.Start("front-1/a");
+  CHECK(fixture.Reserve(*pool, kAccount, 1000) == ReserveOutcome::kExhausted);
+  fixture.Run(500);
+  const int conflicts_before = fixture.table.conflicts();
+  CHECK(fixture.Reserve(*pool, kAccount, 1000) == ReserveOutcome::kExhausted);
+  CHECK(fixture.table.conflicts() == conflicts_before);
+  CHECK(pool->Undrawn(kAccount) + pool->ledger().Held(kAccount) <= 500);
+  CHECK(log.Count("event=prepaid_row_unknown part=account:painters "
+                  "key=totals-by-zone") == 1);
+}
