--- a/src/dandelionmill/prepaid/token_pool.cc
+++ b/src/dandelionmill/prepaid/token_pool.cc
@@ -40,6 +40,9 @@
 // it at the same time.
 constexpr std::size_t kMaxCompletedTotals = 10;
 
+// How often a stored total that cannot be decoded is read again.
+constexpr std::chrono::milliseconds kUnreadableRetryInterval{1000};
+
 // Time without a reservation after which borrowed tokens are given back.
 constexpr std::chrono::milliseconds kBorrowedIdleTime{1000};
 
@@ -124,6 +127,8 @@
     view.may_draw = IsOpen(account) &&
                     (view.is_owner ||
                      std::chrono::steady_clock::now() >= draws_paused_until_);
+    view.may_change_total =
+        total == totals_.end() || !total->second.unreadable_at;
     for (const Waiter& waiter : waiters_) {
       if (waiter.account != account)
         continue;
@@ -153,7 +158,7 @@
   ReadMissingTotals();
   Ledger::Proposal proposal =
       is_returning_
-          ? ledger_.ProposeReturn(EstimateStoreTime())
+          ? ledger_.ProposeReturn(EstimateStoreTime(), UnreadableTotals())
           : ledger_.Propose(
                 AccountViews(), EstimateStoreTime(), base::BootClock::now(),
                 consecutive_conflicts_ >= kConflictsUntilSingleAccount
@@ -407,7 +412,10 @@
   const auto decoded = DecodeHolderRow(row.value);
   if (!base::IsOk(decoded)) {
     log::Event(log::Level::kError, "prepaid_row_unreadable")
+        .With("instance", instance_)
         .With(base::ErrorOf(decoded));
+    if (!has_stored_row_)
+      RecoverFromPredecessor(UnknownPredecessorRow());
     return;
   }
   const HolderRow& stored = base::ValueOf(decoded);
@@ -428,6 +436,13 @@
   }
 }
 
+HolderRow TokenPool::UnknownPredecessorRow() const {
+  HolderRow row;
+  for (const auto& [account, prepaid] : prepaid_)
+    row.shares[account] = HolderShare();
+  return row;
+}
+
 void TokenPool::RecoverFromPredecessor(const HolderRow& stored) {
   const bool is_outdated = stored.era < era_.value_or(0);
   base::Tokens uncommitted = 0;
@@ -460,11 +475,37 @@
     log::Event(log::Level::kError, "prepaid_row_unreadable")
         .With("account", account)
         .With(base::ErrorOf(decoded));
+    OnTotalUnreadable(base::AccountId(account));
     return;
   }
   UpdateTotal(base::AccountId(account), row.version, base::ValueOf(decoded));
 }
 
+void TokenPool::LogUnknownRow(const storage::RowKey& key) {
+  if (!logged_unknown_rows_.insert(key.part + " " + key.key).second)
+    return;
+  log::Event(log::Level::kWarning, "prepaid_row_unknown")
+      .With("part", key.part)
+      .With("key", key.key);
+}
+
+void TokenPool::OnTotalUnreadable(const base::AccountId& account) {
+  StoredTotal& total = totals_[account];
+  total.version = 0;
+  total.row = AccountRow();
+  total.is_known = false;
+  total.unreadable_at = std::chrono::steady_clock::now();
+}
+
+std::set<base::AccountId> TokenPool::UnreadableTotals() const {
+  std::set<base::AccountId> accounts;
+  for (const auto& [account, total] : totals_) {
+    if (total.unreadable_at)
+      accounts.insert(account);
+  }
+  return accounts;
+}
+
 void TokenPool::UpdateTotal(const base::AccountId& account,
                             std::uint64_t version,
                             const AccountRow& row) {
@@ -472,6 +513,7 @@
   total.version = version;
   total.row = row;
   total.is_known = true;
+  total.unreadable_at.reset();
   total.updated_at = std::chrono::steady_clock::now();
   recovered_row_.shares.erase(account);
   contributions_.Observe(account, row, era_.value_or(0));
@@ -554,9 +596,11 @@
                 predecessor_.unsettled().end());
   for (const auto& [account, share] : recovered_row_.shares)
     needed.push_back(account);
+  const std::set<base::AccountId> unreadable = UnreadableTotals();
+  needed.insert(needed.end(), unreadable.begin(), unreadable.end());
   for (const base::AccountId& account : needed) {
     const StoredTotal& total = totals_[account];
-    if (total.is_known)
+    if (total.is_known || IsReadPaused(total))
       continue;
     if (++reading > kMaxCompletedTotals)
       break;
@@ -564,6 +608,12 @@
   }
 }
 
+bool TokenPool::IsReadPaused(const StoredTotal& total) {
+  return total.unreadable_at &&
+         std::chrono::steady_clock::now() - *total.unreadable_at <
+             kUnreadableRetryInterval;
+}
+
 bool TokenPool::IsTotalFresh(const base::AccountId& account) const {
   const auto total = totals_.find(account);
   return total != totals_.end() && total->second.is_known &&
@@ -573,7 +623,7 @@
 
 void TokenPool::ReadTotal(const base::AccountId& account) {
   StoredTotal& total = totals_[account];
-  if (total.is_reading)
+  if (total.is_reading || IsReadPaused(total))
     return;
   total.is_reading = true;
   const storage::RowKey key = TotalKey(account);
@@ -583,10 +633,17 @@
                 if (!CheckEra(answer))
                   return;
                 if (answer.outcome == storage::CallOutcome::kDone) {
-                  if (answer.rows.empty())
-                    UpdateTotal(account, 0, AccountRow());
-                  for (const storage::VersionedRow& row : answer.rows)
+                  bool has_total = false;
+                  for (const storage::VersionedRow& row : answer.rows) {
+                    if (row.key.key != kTotalKey) {
+                      LogUnknownRow(row.key);
+                      continue;
+                    }
+                    has_total = true;
                     ApplyTotalRow(row);
+                  }
+                  if (!has_total)
+                    UpdateTotal(account, 0, AccountRow());
                 }
                 Tick();
                 ResolveWaiters();
@@ -673,7 +730,8 @@
 
 void TokenPool::CommitReturnProposal() {
   ++return_attempts_;
-  CommitProposal(ledger_.ProposeReturn(EstimateStoreTime()));
+  CommitProposal(
+      ledger_.ProposeReturn(EstimateStoreTime(), UnreadableTotals()));
 }
 
 }  // namespace dandelionmill::prepaid
--- a/src/dandelionmill/prepaid/token_pool.h
+++ b/src/dandelionmill/prepaid/token_pool.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -154,6 +155,8 @@
     // Time of the last answer of the store with this total.
     base::MonoTime updated_at{};
     bool is_reading = false;
+    // When the row was last read and could not be decoded; not set if it could.
+    std::optional<base::MonoTime> unreadable_at;
   };
   struct Waiter {
     std::uint64_t id;
@@ -208,6 +211,9 @@
   // Reads the totals that are needed to complete them.
   void ReadMissingTotals();
   void RecoverFromPredecessor(const HolderRow& stored);
+  // A row that allows nothing and lists all accounts, for one that cannot be
+  // decoded.
+  HolderRow UnknownPredecessorRow() const;
   void OnProposalStored(const Ledger::Proposal& proposal);
   void OnCommitConflict(const Ledger::Proposal& proposal,
                         const Totals& totals,
@@ -228,8 +234,16 @@
   void UpdateTotal(const base::AccountId& account,
                    std::uint64_t version,
                    const AccountRow& row);
+  // Notes that the stored total cannot be decoded. It stays as it is, and
+  // nothing is drawn or returned until it can be.
+  void OnTotalUnreadable(const base::AccountId& account);
+  std::set<base::AccountId> UnreadableTotals() const;
+  // Notes, once for each, a row of an account that another build may know.
+  void LogUnknownRow(const storage::RowKey& key);
   void ReadTotal(const base::AccountId& account);
   bool IsTotalFresh(const base::AccountId& account) const;
+  // Whether the row could not be decoded, and was read just now.
+  static bool IsReadPaused(const StoredTotal& total);
   // Resolves waiters, then continues the return of tokens or a deferred tick.
   void ContinueAfterCommit();
   void CommitReturnProposal();
@@ -270,6 +284,7 @@
   Ledger ledger_;
   std::map<base::AccountId, base::Tokens> prepaid_;
   std::map<base::AccountId, StoredTotal> totals_;
+  std::set<std::string> logged_unknown_rows_;
   Contributions contributions_;
   std::optional<std::uint64_t> era_;
   std::uint64_t fleet_settled_era_ = 0;
