Reuse a connection only for the start of a server it was opened to

Callers' requests went to a process that the registry no longer listed, after its backend server had started again under its id elsewhere, and what that process said (a leave, a pause, its load) was taken for the new start's: a server could stay unused for as long as it was listed.

Cause: the pool keeps idle connections by id. A change of the entry closes those that are idle at that moment; one that carries a request then comes back later, and is handed out for the new entry. A full read of the registry closes none at all.

A connection now keeps the incarnation that was listed when it was opened, and is not reused for another one unless the server has reported that one on it.

Evidence: sessions_gateway, "A connection to an earlier process is not used for the listed one". Before: the next request reached the earlier process, whose leave then made the new start unusable ("no backend server can be used"). After: 5 of 5 requests reach the listed process.

--- a/src/dandelionmill/gateway/backend_connector.cc
+++ b/src/dandelionmill/gateway/backend_connector.cc
@@ -69,6 +69,7 @@
 
   void Run(const RelayRequest& request) {
     head_ = FormatRelayRequest(request);
+    connection_->listed_incarnation = request.incarnation;
     timer_.expires_after(kRelayTimeout);
     timer_.async_wait([self = shared_from_this()](error_code error) {
       if (!error)
--- a/src/dandelionmill/gateway/connection_pool.cc
+++ b/src/dandelionmill/gateway/connection_pool.cc
@@ -69,7 +69,9 @@
         timer_(loop),
         handler_(std::move(handler)) {}
 
-  void Run(const net::Address& address) {
+  void Run(const BackendEntry& backend) {
+    const net::Address& address = backend.address;
+    connection_->listed_incarnation = backend.incarnation;
     timer_.expires_after(kConnectTimeout);
     timer_.async_wait([self = shared_from_this()](error_code error) {
       if (!error)
@@ -123,6 +125,15 @@
     return nullptr;
   const base::MonoTime now = std::chrono::steady_clock::now();
   auto& connections = found->second;
+  // One that was in use while a restart was listed has come back later.
+  connections.erase(
+      std::remove_if(connections.begin(), connections.end(),
+                     [&backend](const BackendConnectionPtr& connection) {
+                       return connection->listed_incarnation !=
+                                  backend.incarnation &&
+                              connection->incarnation != backend.incarnation;
+                     }),
+      connections.end());
   while (!connections.empty()) {
     // Uses the most recent one, so that surplus connections expire.
     if (!IsReusable(*connections.back(), max_idle, now))
@@ -137,8 +148,7 @@
 
 void ConnectionPool::Connect(const BackendEntry& backend, Handler handler) {
   ++opened_count_;
-  std::make_shared<ConnectOperation>(loop_, std::move(handler))
-      ->Run(backend.address);
+  std::make_shared<ConnectOperation>(loop_, std::move(handler))->Run(backend);
 }
 
 void ConnectionPool::PutIdle(const BackendEntry& backend,
--- a/src/dandelionmill/gateway/connection_pool.h
+++ b/src/dandelionmill/gateway/connection_pool.h
@@ -28,6 +28,8 @@
   boost::beast::flat_buffer buffer;
   // When it was established.
   base::BootTime opened_at{};
+  // The incarnation of the backend server that was listed then.
+  std::int64_t listed_incarnation = 0;
   // The incarnation that the backend server has reported on it, if any.
   std::optional<std::int64_t> incarnation;
   // Whether it has carried a request before.
@@ -66,7 +68,8 @@
 
   // Commands.
   // Returns a connection that has been idle for less than `max_idle`, or
-  // nullptr.
+  // nullptr. Closes those that were opened to another start of the backend
+  // server.
   BackendConnectionPtr TakeIdle(const BackendEntry& backend,
                                 std::chrono::milliseconds max_idle);
   // Opens a connection. The handler runs once, never from within this call.
