Attribute pauses and leaves to processes, not to listed starts

A server that starts again under its id may answer before the registry lists its new start. Its Retry-After or Server-Leaving was filed under the start that was listed, and was lost when the new entry came: requests reached it in its pause, and after it had said that it leaves.

BackendProcess names the process of a response: the listed incarnation, the reported one if there is one, the address, and when the connection was opened. An entry with its address that was first listed less than 2 s after that (as for stream versions) may be that of the process. A pause then holds to its end; a leave holds until the entry has been listed as ready for 5 s of a registry that is being read, since the entry of a server that leaves is removed or says so by then. If the incarnation was reported, nothing is uncertain.

The unit tests of both gave only an incarnation; they now name the time of the connection and of the entry, and check the same outcomes on both sides of the 2 s. The property test draws ages of connections and reads of the registry; its condition is unchanged.

Conclusion: a start that is listed within 2 s of a leave of the one before, at the same address, is unused for 5 s longer than needed.

--- a/src/dandelionmill/gateway/backend_backoff.cc
+++ b/src/dandelionmill/gateway/backend_backoff.cc
@@ -7,12 +7,13 @@
 using std::chrono::milliseconds;
 
 void BackendBackoff::OnPauseRequested(const base::BackendId& backend,
-                                      std::int64_t incarnation,
+                                      const BackendProcess& process,
                                       milliseconds pause,
                                       base::MonoTime now) {
   Pause& known = pauses_[backend];
-  if (known.incarnation != incarnation)
-    known = Pause{incarnation, base::MonoTime(), 0, 1};
+  if (!known.process.IsSameAs(process))
+    known = Pause();
+  known.process = process;
   const auto max_delay = std::min(
       kMaxDelay, std::chrono::duration_cast<milliseconds>(
                      kMaxDelayShare * std::chrono::duration<double>(pause)));
@@ -55,8 +56,7 @@
 const BackendBackoff::Pause* BackendBackoff::Find(
     const BackendEntry& backend) const {
   const auto found = pauses_.find(backend.id);
-  return found == pauses_.end() ||
-                 found->second.incarnation != backend.incarnation
+  return found == pauses_.end() || !found->second.process.MayBeOf(backend)
              ? nullptr
              : &found->second;
 }
--- a/src/dandelionmill/gateway/backend_backoff.h
+++ b/src/dandelionmill/gateway/backend_backoff.h
@@ -10,6 +10,7 @@
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/gateway/backend_entry.h"
+#include "dandelionmill/gateway/backend_process.h"
 
 namespace dandelionmill::gateway {
 
@@ -29,10 +30,10 @@
   explicit BackendBackoff(std::uint64_t seed) : random_(seed) {}
 
   // Commands.
-  // The backend server has turned a request away and wants no others for
-  // `pause`.
+  // A process of the backend server has turned a request away and wants no
+  // others for `pause`.
   void OnPauseRequested(const base::BackendId& backend,
-                        std::int64_t incarnation,
+                        const BackendProcess& process,
                         std::chrono::milliseconds pause,
                         base::MonoTime now);
   // A request is sent.
@@ -57,14 +58,15 @@
 
  private:
   struct Pause {
-    std::int64_t incarnation = 0;
+    BackendProcess process;
     base::MonoTime ends_at;
     // Requests sent after the pause, and how many of them there may be.
     int in_progress = 0;
     int max_in_progress = 1;
   };
 
-  // Returns nullptr if this start of the backend server has asked for none.
+  // Returns nullptr if the listed process has asked for none. A pause of one
+  // that may be the listed one counts: it ends by itself.
   const Pause* Find(const BackendEntry& backend) const;
 
   std::map<base::BackendId, Pause> pauses_;
--- a/src/dandelionmill/gateway/backend_directory.cc
+++ b/src/dandelionmill/gateway/backend_directory.cc
@@ -10,9 +10,15 @@
   const BackendEntry* last = LastEntry(entry);
   const bool is_draining =
       entry.draining || (last != nullptr && last->draining);
+  const BackendEntry* known = FindLast(entry.id);
+  const base::BootTime unlisted_until =
+      known != nullptr && known->incarnation == entry.incarnation
+          ? known->unlisted_until
+          : as_of_;
   Member& member = members_[entry.id];
   member.entry = entry;
   member.entry.draining = is_draining;
+  member.entry.unlisted_until = unlisted_until;
   member.expires_at.reset();
   member.usable_at.reset();
 }
@@ -54,18 +60,29 @@
 }
 
 bool BackendDirectory::OnLeaving(const base::BackendId& id,
-                                 std::int64_t incarnation,
+                                 const BackendProcess& process,
                                  base::MonoTime now) {
   const auto [leave, is_new] = leaves_.try_emplace(id);
-  const bool has_changed = is_new || leave->second.incarnation != incarnation;
-  leave->second = {incarnation, now + kDepartureMemory};
+  const bool has_changed = is_new || !leave->second.process.IsSameAs(process);
+  leave->second = {process, now + kDepartureMemory, std::nullopt};
   return has_changed;
 }
 
+void BackendDirectory::UpdateLeave(const base::BackendId& id, Leave& leave) {
+  const BackendEntry* entry = Find(id);
+  if (entry == nullptr || leave.process.IsOf(*entry) ||
+      !leave.process.MayBeOf(*entry))
+    return;
+  if (!leave.relisted_as_of)
+    leave.relisted_as_of = as_of_;
+  // The entry of a server that leaves is removed or says so by then.
+  if (as_of_ >= *leave.relisted_as_of + kProofTime)
+    leave.process.reported = leave.process.listed;
+}
+
 bool BackendDirectory::IsLeaving(const BackendEntry& entry) const {
   const auto leave = leaves_.find(entry.id);
-  return leave != leaves_.end() &&
-         leave->second.incarnation == entry.incarnation;
+  return leave != leaves_.end() && leave->second.process.MayBeOf(entry);
 }
 
 void BackendDirectory::Replace(const std::vector<BackendEntry>& entries,
@@ -103,6 +120,7 @@
   for (auto it = departures_.begin(); it != departures_.end();)
     it = it->second.expires_at <= now ? departures_.erase(it) : std::next(it);
   for (auto it = leaves_.begin(); it != leaves_.end();) {
+    UpdateLeave(it->first, it->second);
     const bool is_over =
         it->second.expires_at <= now && members_.count(it->first) == 0;
     it = is_over ? leaves_.erase(it) : std::next(it);
--- a/src/dandelionmill/gateway/backend_directory.h
+++ b/src/dandelionmill/gateway/backend_directory.h
@@ -12,6 +12,7 @@
 #include "dandelionmill/base/boot_clock.h"
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/gateway/backend_entry.h"
+#include "dandelionmill/gateway/backend_process.h"
 
 namespace dandelionmill::gateway {
 
@@ -45,9 +46,10 @@
   // Removes an entry whose address now belongs to another server. It is usable
   // again once the entry is rewritten.
   void Discard(const base::BackendId& id) { members_.erase(id); }
-  // A backend server has said that it leaves. Returns whether that is new.
+  // A process of a backend server has said that it leaves. Returns whether that
+  // is new.
   bool OnLeaving(const base::BackendId& id,
-                 std::int64_t incarnation,
+                 const BackendProcess& process,
                  base::MonoTime now);
   // Replaces the whole content after a full read of the registry.
   void Replace(const std::vector<BackendEntry>& entries, base::MonoTime now);
@@ -67,7 +69,8 @@
   }
   // All changes of the registry before `as_of` have been put here.
   void OnCurrent(base::BootTime as_of) { as_of_ = as_of; }
-  // Removes entries whose grace period is over. Returns their ids.
+  // Removes entries whose grace period is over, and returns their ids. Forgets
+  // leaves that have turned out to be those of earlier processes.
   std::vector<base::BackendId> Expire(base::MonoTime now);
 
   // Queries.
@@ -78,7 +81,9 @@
   // Returns the backend server if it may receive new requests, else nullptr.
   const BackendEntry* FindUsable(const base::BackendId& id,
                                  base::MonoTime now) const;
-  // Whether this start of the backend server has said that it leaves.
+  // Whether the listed process of the backend server has said that it leaves.
+  // Until its entry has been listed as ready for kProofTime, it counts that a
+  // process that may be the listed one has said so.
   bool IsLeaving(const BackendEntry& entry) const;
   // Returns the software versions of the listed backend servers by service.
   std::map<base::ServiceId, std::set<std::string>> ListedVersions() const;
@@ -105,13 +110,19 @@
   };
 
   struct Leave {
-    std::int64_t incarnation = 0;
+    BackendProcess process;
     // Not forgotten before, nor while the backend server is listed.
     base::MonoTime expires_at;
+    // The time up to which the registry was known when it listed another start,
+    // which may be that of the process; not set while it lists none.
+    std::optional<base::BootTime> relisted_as_of;
   };
 
   void Erase(const base::BackendId& id, base::MonoTime now);
   bool IsUsable(const Member& member, base::MonoTime now) const;
+  // Notes whether the registry has listed another start as ready for long
+  // enough to show that it is not the one that leaves.
+  void UpdateLeave(const base::BackendId& id, Leave& leave);
   // Returns the last entry of this start of the backend server, if it is or was
   // listed.
   const BackendEntry* LastEntry(const BackendEntry& entry) const;
--- a/src/dandelionmill/gateway/backend_entry.h
+++ b/src/dandelionmill/gateway/backend_entry.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "dandelionmill/base/boot_clock.h"
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/net/address.h"
 
@@ -23,6 +24,9 @@
   std::string software_version;
   // Changes when the server restarts under the same id; 0 when not reported.
   std::int64_t incarnation = 0;
+  // The registry is known up to this time not to have listed the incarnation;
+  // the epoch if it was in the first read. Set by the directory.
+  base::BootTime unlisted_until{};
   // Number of changes of the entry since the server's start.
   std::uint64_t change_count = 0;
   // Remaining time for which it is slow after its start.
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -49,8 +49,14 @@
   response_status_ = status;
   response_metadata_ = metadata;
   response_fields_ = fields;
+  BackendProcess process;
+  process.listed = backend_->incarnation;
+  if (is_writer_reported_)
+    process.reported = answering_incarnation_;
+  process.connected_at = beginning_.connected_at;
+  process.address = backend_->address;
   ObserveResponse(
-      context_, {*backend_, metadata, chosen_at_, sent_at_},
+      context_, {*backend_, process, metadata, chosen_at_, sent_at_},
       [this](log::Event& event) { AddPlacementFields(event); }, now);
   is_event_stream_ =
       status == 200 && IsStream(route_->kind) &&
--- a/src/dandelionmill/gateway/relay_session.cc
+++ b/src/dandelionmill/gateway/relay_session.cc
@@ -203,8 +203,11 @@
     }
     const ResponseMetadata metadata =
         platform::DecodeResponseMetadata(status, parser.get());
+    const BackendProcess process{connection_->listed_incarnation,
+                                 connection_->incarnation,
+                                 connection_->opened_at, backend_->address};
     ObserveResponse(
-        context_, {*backend_, metadata, accepted_at_, connected_at_},
+        context_, {*backend_, process, metadata, accepted_at_, connected_at_},
         [this](log::Event& event) {
           event.With("request", request_.attempt)
               .With("backend", backend_->id)
--- a/src/dandelionmill/gateway/response_observer.cc
+++ b/src/dandelionmill/gateway/response_observer.cc
@@ -3,6 +3,25 @@
 #include "dandelionmill/gateway/gateway_context.h"
 
 namespace dandelionmill::gateway {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Adds what is known of the process, and the age of the registry.
+log::Event& AddProcessFields(const GatewayContext& context,
+                             const BackendProcess& process,
+                             log::Event& event) {
+  const base::BootTime now = base::BootClock::now();
+  return event.With("incarnation", process.listed)
+      .With("reported", process.reported.value_or(0))
+      .With("connection_age_ms",
+            duration_cast<milliseconds>(now - process.connected_at))
+      .With("registry_age_ms",
+            duration_cast<milliseconds>(now - context.directory.as_of()));
+}
+
+}  // namespace
 
 void ObserveResponse(GatewayContext& context,
                      const ObservedResponse& response,
@@ -31,11 +50,12 @@
     context.brittle_services.OnRejected(
         backend, context.placement.InFlightAt(backend.service), now);
   if (metadata.pause) {
-    context.backoff.OnPauseRequested(backend.id, backend.incarnation,
+    context.backoff.OnPauseRequested(backend.id, response.process,
                                      *metadata.pause, now);
     log::Event event(log::Level::kInfo, "backend_paused");
     add_fields(event);
-    event.With("pause_ms", *metadata.pause);
+    AddProcessFields(context, response.process, event)
+        .With("pause_ms", *metadata.pause);
   } else if (context.backoff.OnAnswered(backend.id, response.chosen_at)) {
     log::Event event(log::Level::kInfo, "backend_pause_ended");
     add_fields(event);
@@ -46,11 +66,11 @@
     event.With("retry_after", metadata.malformed_pause);
   }
   if (metadata.is_leaving &&
-      context.directory.OnLeaving(backend.id, backend.incarnation, now)) {
+      context.directory.OnLeaving(backend.id, response.process, now)) {
     context.pool.CloseIdle(backend.id);
     log::Event event(log::Level::kInfo, "backend_leaving");
     add_fields(event);
-    event.With("incarnation", backend.incarnation);
+    AddProcessFields(context, response.process, event);
   }
 }
 
--- a/src/dandelionmill/gateway/response_observer.h
+++ b/src/dandelionmill/gateway/response_observer.h
@@ -5,6 +5,7 @@
 
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/gateway/backend_entry.h"
+#include "dandelionmill/gateway/backend_process.h"
 #include "dandelionmill/gateway/request_metadata.h"
 #include "dandelionmill/log/event.h"
 
@@ -16,6 +17,8 @@
 // one of its callers or for another instance.
 struct ObservedResponse {
   const BackendEntry& backend;
+  // The process that responded.
+  const BackendProcess& process;
   const ResponseMetadata& metadata;
   // When the backend server was chosen, and when the request was sent.
   base::MonoTime chosen_at{};
--- a/tests/property/gateway/leaving_and_paused_property.cc
+++ b/tests/property/gateway/leaving_and_paused_property.cc
@@ -43,6 +43,9 @@
       if (*rc::gen::inRange(0, 8) == 0)
         ++incarnation;
       now += milliseconds(*rc::gen::inRange(0, 1000));
+      const base::BootTime boot_now(now.time_since_epoch());
+      if (*rc::gen::arbitrary<bool>())
+        directory.OnCurrent(boot_now);
       BackendEntry entry = Entry(incarnation);
       entry.draining = *rc::gen::arbitrary<bool>();
       entry.change_count = static_cast<std::uint64_t>(*rc::gen::inRange(0, 5));
@@ -68,7 +71,13 @@
           if (listed == nullptr)
             break;
           leaving.insert(listed->incarnation);
-          directory.OnLeaving(entry.id, listed->incarnation, now);
+          directory.OnLeaving(
+              entry.id,
+              {listed->incarnation,
+               std::nullopt,
+               boot_now - milliseconds(*rc::gen::inRange(0, 5000)),
+               {}},
+              now);
           break;
         }
       }
@@ -106,7 +115,8 @@
                         static_cast<std::ptrdiff_t>(ended));
       if (*rc::gen::inRange(0, 3) == 0) {
         const milliseconds pause(*rc::gen::inRange(0, 3000));
-        backoff.OnPauseRequested(backend.id, 1, pause, now);
+        backoff.OnPauseRequested(
+            backend.id, {1, std::nullopt, base::BootTime(), {}}, pause, now);
         pause_ends = std::max(pause_ends, now + pause);
       } else if (*rc::gen::arbitrary<bool>()) {
         backoff.OnAnswered(backend.id, sent_at);
--- a/tests/sessions/gateway/restarted_backend_test.cc
+++ b/tests/sessions/gateway/restarted_backend_test.cc
@@ -7,6 +7,8 @@
 namespace gateway_test {
 namespace {
 
+using std::chrono::steady_clock;
+
 // Time for the gateway to read a change of the registry.
 constexpr milliseconds kListingTime{300};
 
@@ -32,6 +34,15 @@
   std::this_thread::sleep_for(kListingTime);
 }
 
+// Sends requests until the engine has received one.
+void SendUntilReached(GatewayFixture& fixture, const ScriptedEngine& engine) {
+  const std::size_t before = engine.requests().size();
+  fixture.WaitUntil([&] {
+    CHECK(fixture.Send("/safe/x").status == 200);
+    return engine.requests().size() > before;
+  });
+}
+
 }  // namespace
 
 // Guards against requests to a process that the registry no longer lists, and
@@ -57,4 +68,56 @@
   CHECK(earlier.requests().size() == 1);
 }
 
+// Guards against requests in a pause for which a process has asked before the
+// registry listed it.
+TEST_CASE("A pause outlasts the late listing of the process that asked for it",
+          "[gateway]") {
+  constexpr milliseconds kPause{2500};
+  GatewayFixture fixture;
+  fixture.AddEngine("paused", Complete("paused"));
+  fixture.AddEngine("other", Complete("other"));
+  fixture.RestartEngine(
+      "paused",
+      [kPause](const Request& request) {
+        return ScriptedEngine::Unavailable(request, kPause);
+      },
+      2);
+  ScriptedEngine& paused = *fixture.engines.at("paused");
+  SendUntilReached(fixture, paused);
+  const auto paused_at = steady_clock::now();
+  const std::size_t reached = paused.requests().size();
+  List(fixture, "paused", kFirstEnginePort, 2);
+  while (steady_clock::now() - paused_at < kPause - milliseconds(200)) {
+    CHECK(fixture.Send("/safe/x").body == "other");
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  CHECK(paused.requests().size() == reached);
+  // It is used again after the pause.
+  paused.SetScript(Complete("paused"));
+  SendUntilReached(fixture, paused);
+}
+
+// Guards against new work for a process that has said that it leaves before the
+// registry listed it.
+TEST_CASE("A leave outlasts the late listing of the process that leaves",
+          "[gateway]") {
+  GatewayFixture fixture;
+  fixture.AddEngine("leaving", Complete("leaving"));
+  fixture.AddEngine("other", Complete("other"));
+  fixture.RestartEngine(
+      "leaving",
+      [](const Request& request) {
+        return ScriptedEngine::Leaving(
+            ScriptedEngine::CompleteAnswer(request, 200, "leaving"));
+      },
+      2);
+  ScriptedEngine& leaving = *fixture.engines.at("leaving");
+  SendUntilReached(fixture, leaving);
+  const std::size_t reached = leaving.requests().size();
+  List(fixture, "leaving", kFirstEnginePort, 2);
+  for (int i = 0; i < 40; ++i)
+    CHECK(fixture.Send("/safe/x").body == "other");
+  CHECK(leaving.requests().size() == reached);
+}
+
 }  // namespace gateway_test
--- a/tests/unit/gateway/backend_backoff_test.cc
+++ b/tests/unit/gateway/backend_backoff_test.cc
@@ -5,6 +5,7 @@
 namespace base = dandelionmill::base;
 using dandelionmill::gateway::BackendBackoff;
 using dandelionmill::gateway::BackendEntry;
+using dandelionmill::gateway::BackendProcess;
 using std::chrono::milliseconds;
 
 namespace {
@@ -15,10 +16,18 @@
   return base::MonoTime(std::chrono::hours(1)) + milliseconds(ms);
 }
 
-BackendEntry Backend(std::int64_t incarnation = 1) {
+const base::BootTime kConnectedAt{std::chrono::hours(2)};
+
+// The process behind start 1, which is listed.
+const BackendProcess kProcess{1, std::nullopt, kConnectedAt, {}};
+
+// An entry that was listed `after` the connection to kProcess was opened.
+BackendEntry Backend(std::int64_t incarnation = 1,
+                     milliseconds after = milliseconds(60000)) {
   BackendEntry backend;
   backend.id = kId;
   backend.incarnation = incarnation;
+  backend.unlisted_until = kConnectedAt + after;
   return backend;
 }
 
@@ -28,7 +37,7 @@
           "[gateway]") {
   BackendBackoff backoff(1);
   CHECK(backoff.Admits(Backend(), At(0)));
-  backoff.OnPauseRequested(kId, 1, milliseconds(1500), At(0));
+  backoff.OnPauseRequested(kId, kProcess, milliseconds(1500), At(0));
   CHECK_FALSE(backoff.Admits(Backend(), At(0)));
   CHECK_FALSE(backoff.Admits(Backend(), At(1499)));
   CHECK(backoff.TimeUntilAdmitted(Backend(), At(0)) >= milliseconds(1500));
@@ -36,9 +45,22 @@
   CHECK(backoff.Admits(Backend(), At(1650)));
   SECTION("another start of it has asked for none") {
     CHECK(backoff.Admits(Backend(2), At(0)));
+    CHECK(backoff.Admits(Backend(2, milliseconds(2000)), At(0)));
+  }
+  SECTION("a start that was listed soon after may be the one that asked") {
+    CHECK_FALSE(backoff.Admits(Backend(2, milliseconds(1999)), At(0)));
+    CHECK_FALSE(backoff.Admits(Backend(2, milliseconds(-60000)), At(0)));
+  }
+  SECTION("one that has reported its start is known") {
+    backoff.OnPauseRequested(kId, {1, 3, kConnectedAt, {}}, milliseconds(1500),
+                             At(0));
+    CHECK(backoff.Admits(Backend(2, milliseconds(1999)), At(0)));
+    CHECK_FALSE(backoff.Admits(Backend(3), At(0)));
+    // The entry of the earlier start is still listed in its place.
+    CHECK_FALSE(backoff.Admits(Backend(1), At(0)));
   }
   SECTION("a shorter pause does not end a longer one") {
-    backoff.OnPauseRequested(kId, 1, milliseconds(100), At(10));
+    backoff.OnPauseRequested(kId, kProcess, milliseconds(100), At(10));
     CHECK_FALSE(backoff.Admits(Backend(), At(1499)));
   }
   SECTION("a response to an earlier request does not end it") {
@@ -50,7 +72,7 @@
 TEST_CASE("After a pause a backend server gets more requests step by step",
           "[gateway]") {
   BackendBackoff backoff(1);
-  backoff.OnPauseRequested(kId, 1, milliseconds(1000), At(0));
+  backoff.OnPauseRequested(kId, kProcess, milliseconds(1000), At(0));
   backoff.OnSent(kId, At(1200));
   CHECK_FALSE(backoff.Admits(Backend(), At(1200)));
   SECTION("one whose trial ended without a response is tried again") {
@@ -73,7 +95,7 @@
     CHECK(backoff.empty());
   }
   SECTION("one that asks for another pause gets it") {
-    backoff.OnPauseRequested(kId, 1, milliseconds(1000), At(1210));
+    backoff.OnPauseRequested(kId, kProcess, milliseconds(1000), At(1210));
     backoff.OnEnded(kId, At(1200));
     CHECK_FALSE(backoff.Admits(Backend(), At(2209)));
     CHECK(backoff.Admits(Backend(), At(2400)));
--- a/tests/unit/gateway/backend_directory_test.cc
+++ b/tests/unit/gateway/backend_directory_test.cc
@@ -3,10 +3,12 @@
 #include <catch2/catch.hpp>
 
 using dandelionmill::base::BackendId;
+using dandelionmill::base::BootTime;
 using dandelionmill::base::MonoTime;
 using dandelionmill::base::ServiceId;
 using dandelionmill::gateway::BackendDirectory;
 using dandelionmill::gateway::BackendEntry;
+using dandelionmill::gateway::BackendProcess;
 using std::chrono::milliseconds;
 
 namespace {
@@ -23,6 +25,10 @@
   return entry;
 }
 
+BootTime BootAt(int ms) {
+  return BootTime(std::chrono::hours(2)) + milliseconds(ms);
+}
+
 std::size_t UsableAt(const BackendDirectory& directory, int ms) {
   return directory.Usable(ServiceId("model"), At(ms)).size();
 }
@@ -146,8 +152,10 @@
   BackendEntry entry = Entry("a");
   entry.incarnation = 7;
   directory.Put(entry);
-  CHECK(directory.OnLeaving(BackendId("a"), 7, At(0)));
-  CHECK_FALSE(directory.OnLeaving(BackendId("a"), 7, At(0)));
+  directory.OnCurrent(BootAt(60000));
+  const BackendProcess process{7, std::nullopt, BootAt(0), {}};
+  CHECK(directory.OnLeaving(BackendId("a"), process, At(0)));
+  CHECK_FALSE(directory.OnLeaving(BackendId("a"), process, At(0)));
   CHECK(UsableAt(directory, 0) == 0);
   SECTION("its entry is written again as ready") {
     ++entry.change_count;
@@ -171,3 +179,43 @@
     CHECK(UsableAt(directory, 0) == 1);
   }
 }
+
+// Guards against new work for a process that leaves, whose entry was written
+// after it had said so.
+TEST_CASE("A process that leaves is not usable by an entry that follows soon",
+          "[gateway]") {
+  BackendDirectory directory;
+  BackendEntry entry = Entry("a");
+  entry.incarnation = 7;
+  directory.Put(entry);
+  directory.OnCurrent(BootAt(0));
+  directory.OnLeaving(BackendId("a"), {7, std::nullopt, BootAt(100), {}},
+                      At(200));
+  directory.OnCurrent(BootAt(500));
+  ++entry.incarnation;
+  directory.Put(entry);
+  directory.Expire(At(600));
+  CHECK(UsableAt(directory, 600) == 0);
+  SECTION("another start is usable at once") {
+    directory.OnCurrent(BootAt(2100));
+    ++entry.incarnation;
+    directory.Put(entry);
+    CHECK(UsableAt(directory, 2200) == 1);
+  }
+  SECTION("one that is listed as ready for long does not leave") {
+    directory.OnCurrent(BootAt(5499));
+    directory.Expire(At(5500));
+    CHECK(UsableAt(directory, 5500) == 0);
+    directory.OnCurrent(BootAt(5500));
+    directory.Expire(At(5600));
+    CHECK(UsableAt(directory, 5600) == 1);
+    // The earlier start does leave.
+    --entry.incarnation;
+    directory.Put(entry);
+    CHECK(UsableAt(directory, 5600) == 0);
+  }
+  SECTION("a registry that is not read shows nothing") {
+    directory.Expire(At(600000));
+    CHECK(UsableAt(directory, 600000) == 0);
+  }
+}
