Count a break as a crash if another start answers afterwards

A request that crashes the servers that run it was sent on and on where they are back before the instance looks: after a standstill, or if the restart takes less than the 20 ms until the connection that tells a crash from a lost connection.

Cause: only a refused connection counted as a crash. A connection that opens may lead to a later process.

The server of an engine service is now asked for its incarnation on that connection, one question at a time for each server, if it is known which incarnation ran the request. Another one is a crash of the attempts that broke off at the earlier one. The line restart_checked logs it. Not covered: servers without reports, and requests on connections that are younger than the registry can vouch for (2 s), for which a late entry cannot be told from a restart.

Evidence: sessions_gateway, "A request that crashes servers which are back at once is refused": before, the request ran again at both servers (502); now it is refused as quarantined (503) and reaches none. Servers that only reset the connections are not suspected, before and after.

--- a/src/dandelionmill/gateway/backend_connector.cc
+++ b/src/dandelionmill/gateway/backend_connector.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <utility>
 
+#include "dandelionmill/gateway/incarnation_check.h"
 #include "dandelionmill/gateway/socket_options.h"
 #include "dandelionmill/log/event.h"
 
@@ -333,6 +334,36 @@
                  });
 }
 
+void BackendConnector::OnReconnected(const BackendEntry& backend,
+                                     std::int64_t broken_at,
+                                     BackendConnectionPtr connection) {
+  const base::MonoTime now = steady_clock::now();
+  if (!parts_.crash_guard.HasBrokenAttempt(backend.id, now) ||
+      !restarts_in_check_.insert(backend.id).second) {
+    parts_.pool.PutIdle(backend, std::move(connection), now);
+    return;
+  }
+  CheckIncarnation(
+      parts_.loop, backend.address, std::move(connection),
+      [this, backend, broken_at, now](IncarnationReport report) {
+        restarts_in_check_.erase(backend.id);
+        const bool is_crash =
+            report.incarnation && *report.incarnation != broken_at;
+        log::Event(log::Level::kInfo, "restart_checked")
+            .With("backend", backend.id)
+            .With("incarnation", broken_at)
+            .With("answered", report.is_answered)
+            .With("reported", report.incarnation.value_or(0))
+            .With("crashed", is_crash);
+        if (is_crash)
+          parts_.crash_guard.OnRestarted(backend.id, broken_at, now);
+        if (report.connection) {
+          parts_.pool.PutIdle(backend, std::move(report.connection),
+                              steady_clock::now());
+        }
+      });
+}
+
 void BackendConnector::OnRefusalChecked(const BackendEntry& backend,
                                         const RelayResult& result,
                                         base::MonoTime refused_at) {
--- a/src/dandelionmill/gateway/backend_connector.h
+++ b/src/dandelionmill/gateway/backend_connector.h
@@ -61,6 +61,12 @@
   // A connection was refused, and requests broke off shortly before. Reports a
   // crash of the backend server, unless another instance reaches it.
   void OnConnectionRefused(const BackendEntry& backend, base::MonoTime now);
+  // A connection was opened after a request had broken off at the incarnation
+  // `broken_at` of the backend server. Asks on it which incarnation answers and
+  // reports a crash if it is another one.
+  void OnReconnected(const BackendEntry& backend,
+                     std::int64_t broken_at,
+                     BackendConnectionPtr connection);
   // Checks whether the partitions last. Call every few hundred milliseconds.
   void Tick();
 
@@ -116,6 +122,8 @@
   // Backend servers to which another instance is connecting to find out whether
   // they have crashed.
   std::set<base::BackendId> refusals_in_check_;
+  // Backend servers that are asked for their incarnation for the same reason.
+  std::set<base::BackendId> restarts_in_check_;
 };
 
 }  // namespace dandelionmill::gateway
--- a/src/dandelionmill/gateway/crash_guard.cc
+++ b/src/dandelionmill/gateway/crash_guard.cc
@@ -47,9 +47,22 @@
 
 void CrashGuard::OnConnectionRefused(const base::BackendId& backend,
                                      base::MonoTime now) {
+  AddCrashes(backend, std::nullopt, now);
+}
+
+void CrashGuard::OnRestarted(const base::BackendId& backend,
+                             std::int64_t incarnation,
+                             base::MonoTime now) {
+  AddCrashes(backend, incarnation, now);
+}
+
+void CrashGuard::AddCrashes(const base::BackendId& backend,
+                            std::optional<std::int64_t> incarnation,
+                            base::MonoTime now) {
   bool has_crashed = false;
   for (auto it = broken_attempts_.begin(); it != broken_attempts_.end();) {
-    if (it->backend != backend || now - it->broken_at > kCrashDetectionWindow) {
+    if (it->backend != backend || now - it->broken_at > kCrashDetectionWindow ||
+        (incarnation && it->incarnation != *incarnation)) {
       ++it;
       continue;
     }
--- a/src/dandelionmill/gateway/crash_guard.h
+++ b/src/dandelionmill/gateway/crash_guard.h
@@ -32,12 +32,12 @@
 std::vector<std::string> SharedPartIds(const std::vector<PromptPart>& parts);
 
 // Detects requests and prompt parts that crash the backend servers that run
-// them. A broken attempt counts as a crash if the backend server refuses
-// connections soon afterwards. A request that was running during crashes of two
-// backend servers is quarantined. So is a prompt part whose requests were
-// running during several crashes, while none with it was answered; crashes that
-// a quarantined part explains do not count against anything else. Instances
-// exchange their reports through the store. Pure.
+// them. A broken attempt counts as a crash if soon afterwards the backend
+// server refuses connections or another start of it answers. A request that was
+// running during crashes of two backend servers is quarantined. So is a prompt
+// part whose requests were running during several crashes, while none with it
+// was answered; crashes that a quarantined part explains do not count against
+// anything else. Instances exchange their reports through the store. Pure.
 class CrashGuard {
  public:
   // Crashes of distinct backend servers after which a request is quarantined.
@@ -56,8 +56,8 @@
   // A response that has arrived for this long does not crash its backend server
   // by the prompt, which takes effect when the answer begins.
   static constexpr std::chrono::milliseconds kAnsweringProof{500};
-  // Longest time between a broken attempt and the refused connection that
-  // confirms a crash.
+  // Longest time between a broken attempt and the connection that confirms a
+  // crash.
   static constexpr std::chrono::milliseconds kCrashDetectionWindow{600};
   // How long a record is kept after its last crash.
   static constexpr std::chrono::minutes kRecordLifetime{10};
@@ -70,6 +70,8 @@
     // The response had been arriving for kAnsweringProof.
     bool was_answering = false;
     base::MonoTime broken_at{};
+    // The start of the backend server that ran it, as far as known.
+    std::int64_t incarnation = 0;
   };
 
   // The requests and prompt parts that one instance saw running when `backend`
@@ -112,6 +114,10 @@
   void OnAttemptBroken(BrokenAttempt attempt);
   // A connection attempt to the backend server was refused.
   void OnConnectionRefused(const base::BackendId& backend, base::MonoTime now);
+  // Another start of the backend server than `incarnation` answers.
+  void OnRestarted(const base::BackendId& backend,
+                   std::int64_t incarnation,
+                   base::MonoTime now);
   // The backend server is running: what broke off there was not a crash.
   void OnReachable(const base::BackendId& backend);
   // The request ran to completion, so neither it nor its prompt parts crash
@@ -177,6 +183,11 @@
     std::size_t repeated = 0;
   };
 
+  // Counts the broken attempts at the backend server as crashes; only those at
+  // `incarnation` if it is set.
+  void AddCrashes(const base::BackendId& backend,
+                  std::optional<std::int64_t> incarnation,
+                  base::MonoTime now);
   void AddDigestCrash(const std::string& digest,
                       const base::BackendId& backend,
                       base::MonoTime now);
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -314,17 +314,26 @@
   }
   may_have_run_ = true;
   is_confirming_end_ = false;
-  context_.crash_guard.OnAttemptBroken(
-      {crash_traits_, backend_->id, sent_at_, is_answering_, now});
+  context_.crash_guard.OnAttemptBroken({crash_traits_, backend_->id, sent_at_,
+                                        is_answering_, now,
+                                        answering_incarnation_});
   EndAttempt(AttemptEnd::kBroken);
-  // A new connection distinguishes a crash from a lost connection. If it
-  // succeeds, later requests reuse it.
+  // A new connection distinguishes a crash from a lost connection, unless the
+  // backend server is back by then as another process. If it succeeds, later
+  // requests reuse it.
+  std::optional<std::int64_t> writer;
+  if (service_->engine && IsWriterKnown())
+    writer = answering_incarnation_;
   ProbeBackend(
       context_, *backend_, relay_,
-      [&context = context_, backend = *backend_,
+      [&context = context_, backend = *backend_, writer,
        is_relayed = relay_.has_value()](ConnectionPool::Result result) {
         const base::MonoTime connected_at = steady_clock::now();
-        if (auto* connection = std::get_if<BackendConnectionPtr>(&result))
+        auto* connection = std::get_if<BackendConnectionPtr>(&result);
+        if (connection != nullptr && writer)
+          context.connector.OnReconnected(backend, *writer,
+                                          std::move(*connection));
+        else if (connection != nullptr)
           context.pool.PutIdle(backend, std::move(*connection), connected_at);
         else if (std::get<ConnectFailure>(result) != ConnectFailure::kRefused)
           return;
--- a/tests/sessions/gateway/restarted_backend_test.cc
+++ b/tests/sessions/gateway/restarted_backend_test.cc
@@ -120,4 +120,55 @@
   CHECK(leaving.requests().size() == reached);
 }
 
+// Guards against a crash that counts as a lost connection since the backend
+// server is back before the gateway looks.
+TEST_CASE("A request that crashes servers which are back at once is refused",
+          "[gateway]") {
+  GatewayFixture fixture;
+  const auto crash_by = [&fixture](const std::string& id) {
+    return [&fixture, id](const Request& request) {
+      if (request.body() != "crash")
+        return ScriptedEngine::CompleteAnswer(request, 200, id);
+      ++fixture.engines.at(id)->born;
+      return Answer{{}, Answer::Then::kReset};
+    };
+  };
+  fixture.AddEngine("a", crash_by("a"));
+  fixture.AddEngine("b", crash_by("b"));
+  // Connections that are older than the delay of entries belong to the listed
+  // processes.
+  const auto begin = steady_clock::now();
+  while (steady_clock::now() - begin < milliseconds(5000)) {
+    for (int i = 0; i < 4; ++i) {
+      CHECK(fixture.Send("/safe/x").status == 200);
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+  CHECK(fixture.Send("/safe/x", {}, "crash").status == 502);
+  std::this_thread::sleep_for(milliseconds(800));
+  const Received refused = fixture.Send("/safe/x", {}, "crash");
+  CHECK(refused.status == 503);
+  CHECK(refused.body.find("quarantined") != std::string::npos);
+  CHECK(fixture.engines.at("a")->born == 2);
+  CHECK(fixture.engines.at("b")->born == 2);
+  // Others are served.
+  CHECK(fixture.Send("/safe/x").status == 200);
+}
+
+// The same break without a crash.
+TEST_CASE("A request whose connections are reset is not refused", "[gateway]") {
+  GatewayFixture fixture;
+  const auto reset = [](const Request& request) {
+    return request.body() == "reset"
+               ? Answer{{}, Answer::Then::kReset}
+               : ScriptedEngine::CompleteAnswer(request, 200, "whole");
+  };
+  fixture.AddEngine("a", reset);
+  fixture.AddEngine("b", reset);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(fixture.Send("/safe/x", {}, "reset").status == 502);
+    std::this_thread::sleep_for(milliseconds(800));
+  }
+}
+
 }  // namespace gateway_test
--- a/tests/unit/gateway/crash_guard_test.cc
+++ b/tests/unit/gateway/crash_guard_test.cc
@@ -320,3 +320,21 @@
   REQUIRE(replaced.size() == 1);
   CHECK(replaced[0].find(' ') == std::string::npos);
 }
+
+// Guards against a crash that counts as a lost connection since the backend
+// server is back at once.
+TEST_CASE("An attempt broke in a crash if another start answers afterwards",
+          "[gateway]") {
+  CrashGuard guard;
+  for (const char* backend : {"a", "b"}) {
+    guard.OnAttemptBroken(
+        {{"crashing", {}}, BackendId(backend), At(-50), false, At(0), 1});
+    // It broke at the start that answers.
+    guard.OnAttemptBroken(
+        {{"harmless", {}}, BackendId(backend), At(-50), false, At(10), 2});
+    guard.OnRestarted(BackendId(backend), 1, At(30));
+  }
+  CHECK(IsQuarantined(guard, "crashing"));
+  CHECK_FALSE(IsQuarantined(guard, "harmless"));
+  CHECK(guard.suspect_count() == 1);
+}
