Ignore what attempts at an earlier start of a server come to late

After a server had started again under its id, requests avoided the new start: attempts at the earlier one that broke, reported load or were slow only after the new start was listed (a reset that arrives late, a relay, a response in progress) counted against it. It was ejected for up to 2 s, its cache estimate was cleared, or it was taken for full.

Placement keeps its state by id and resets it when another incarnation is listed, but the results of attempts named the id alone. They now carry the entry that was chosen, and are ignored if another start has been listed since; only the count of requests in progress goes down.

exchange.cc changes in one line (EndAttempt).

--- a/bench/placement/fleet_day.cc
+++ b/bench/placement/fleet_day.cc
@@ -302,10 +302,10 @@
     Gateway& gateway = *gateways_[attempt.gateway];
     attempt.events = event;
     if (event == 1) {
-      gateway.placement.OnLoad(attempt.engine->entry.id,
+      gateway.placement.OnLoad(attempt.engine->entry,
                                attempt.engine->model.Load(), timeline_.now());
       gateway.placement.OnFirstEvent(
-          attempt.engine->entry.id, attempt.uncached,
+          attempt.engine->entry, attempt.uncached,
           duration_cast<milliseconds>(timeline_.now() - attempt.sent),
           attempt.expected, timeline_.now());
       if (!attempt.request->is_done)
@@ -334,7 +334,7 @@
     if (attempt.events == 0)
       gateway.placement.OnPromptDropped(attempt.engine->entry.id,
                                         attempt.uncached);
-    gateway.placement.OnEnded(attempt.engine->entry.id, end, timeline_.now());
+    gateway.placement.OnEnded(attempt.engine->entry, end, timeline_.now());
     if (end == gateway::AttemptEnd::kAnswered ||
         end == gateway::AttemptEnd::kAbandoned) {
       if (!attempt.request->is_done)
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -624,7 +624,7 @@
   is_attempt_open_ = false;
   if (std::exchange(is_prompt_pending_, false))
     context_.placement.OnPromptDropped(backend_->id, choice_.uncached_tokens);
-  context_.placement.OnEnded(backend_->id, end, steady_clock::now());
+  context_.placement.OnEnded(*backend_, end, steady_clock::now());
   context_.backoff.OnEnded(backend_->id, chosen_at_);
   if (call_) {
     call_->Abandon();
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -110,7 +110,7 @@
     context_.crash_guard.OnAnswering(crash_traits_, now);
   }
   if (std::exchange(is_prompt_pending_, false)) {
-    context_.placement.OnFirstEvent(backend_->id, choice_.uncached_tokens,
+    context_.placement.OnFirstEvent(*backend_, choice_.uncached_tokens,
                                     duration_cast<milliseconds>(now - sent_at_),
                                     choice_.expected_wait, now);
   }
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -148,6 +148,14 @@
   return state;
 }
 
+Placement::State* Placement::FindState(const BackendEntry& backend) {
+  const auto found = states_.find(backend.id);
+  if (found == states_.end() || found->second.service.empty())
+    return &StateOf(backend);
+  return found->second.incarnation == backend.incarnation ? &found->second
+                                                          : nullptr;
+}
+
 void Placement::OnSent(const BackendEntry& backend,
                        const ModelRequest* model,
                        base::Tokens uncached_tokens,
@@ -167,13 +175,16 @@
       std::max<base::Tokens>(0, state.pending_prefill_tokens - uncached_tokens);
 }
 
-void Placement::OnFirstEvent(const base::BackendId& backend,
+void Placement::OnFirstEvent(const BackendEntry& backend,
                              base::Tokens uncached_tokens,
                              milliseconds waited,
                              milliseconds expected,
                              base::MonoTime now) {
-  OnPromptDropped(backend, uncached_tokens);
-  State& state = states_[backend];
+  OnPromptDropped(backend.id, uncached_tokens);
+  State* const found = FindState(backend);
+  if (found == nullptr)
+    return;
+  State& state = *found;
   state.last_received_at = now;
   const double ratio =
       (static_cast<double>(waited.count()) + kSlownessOffsetMs) /
@@ -191,11 +202,13 @@
   return std::pow(state.slowness, std::exp(-age / kSlownessDecayTime));
 }
 
-void Placement::OnEnded(const base::BackendId& backend,
+void Placement::OnEnded(const BackendEntry& backend,
                         AttemptEnd end,
                         base::MonoTime now) {
-  State& state = states_[backend];
+  State& state = states_[backend.id];
   state.in_flight = std::max(0, state.in_flight - 1);
+  if (FindState(backend) == nullptr)
+    return;
   switch (end) {
     case AttemptEnd::kAbandoned:
       return;
@@ -231,10 +244,13 @@
   return state.failure_share * std::exp(-age / kFailureDecayTime);
 }
 
-void Placement::OnLoad(const base::BackendId& backend,
+void Placement::OnLoad(const BackendEntry& backend,
                        const ResponseMetadata::Load& load,
                        base::MonoTime now) {
-  State& state = states_[backend];
+  State* const found = FindState(backend);
+  if (found == nullptr)
+    return;
+  State& state = *found;
   state.other_in_flight =
       std::max(0, load.running + load.waiting - state.in_flight);
   state.reported_waiting = load.waiting;
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -119,21 +119,19 @@
               base::MonoTime now);
   // The first event arrived, so prefill is complete. `waited` is the time since
   // the request was sent, `expected` that of PlacementChoice.
-  void OnFirstEvent(const base::BackendId& backend,
+  void OnFirstEvent(const BackendEntry& backend,
                     base::Tokens uncached_tokens,
                     std::chrono::milliseconds waited,
                     std::chrono::milliseconds expected,
                     base::MonoTime now);
-  // An attempt ended. Call once for each OnSent.
-  void OnEnded(const base::BackendId& backend,
-               AttemptEnd end,
-               base::MonoTime now);
+  // An attempt ended. Call once for each OnSent. `backend` as in OnSent.
+  void OnEnded(const BackendEntry& backend, AttemptEnd end, base::MonoTime now);
   // An attempt ended before its first event, so its prefill is no longer
   // pending.
   void OnPromptDropped(const base::BackendId& backend,
                        base::Tokens uncached_tokens);
   // The backend server reported its load.
-  void OnLoad(const base::BackendId& backend,
+  void OnLoad(const BackendEntry& backend,
               const ResponseMetadata::Load& load,
               base::MonoTime now);
   // Bytes arrived from the backend server.
@@ -199,6 +197,9 @@
   };
 
   State& StateOf(const BackendEntry& backend);
+  // Returns nullptr if another start of the backend server has been listed
+  // since the entry, of which what is observed says nothing.
+  State* FindState(const BackendEntry& backend);
   double FailureShare(const State& state, base::MonoTime now) const;
   double Slowness(const State& state, base::MonoTime now) const;
   static SharedPrompt FindSharedPrompt(const std::vector<Candidate>& candidates,
--- a/src/dandelionmill/gateway/response_observer.cc
+++ b/src/dandelionmill/gateway/response_observer.cc
@@ -31,7 +31,7 @@
   const ResponseMetadata& metadata = response.metadata;
   context.placement.OnBytesReceived(backend.id, now);
   if (metadata.load)
-    context.placement.OnLoad(backend.id, *metadata.load, now);
+    context.placement.OnLoad(backend, *metadata.load, now);
   if (context.request_limits.OnResponse(
           {backend.id, backend.incarnation, metadata.requests_per_s},
           response.sent_at, now)) {
--- a/tests/unit/gateway/placement_test.cc
+++ b/tests/unit/gateway/placement_test.cc
@@ -1,5 +1,6 @@
 #include "dandelionmill/gateway/placement.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using dandelionmill::base::BackendId;
@@ -67,10 +68,15 @@
     return choice->backend->id;
   }
 
+  const BackendEntry& EntryOf(const BackendId& id) const {
+    return *std::find_if(entries.begin(), entries.end(),
+                         [&id](const auto& entry) { return entry.id == id; });
+  }
+
   void Complete(const BackendId& id, Tokens tokens, int ms) {
-    placement.OnFirstEvent(id, tokens, milliseconds(100), milliseconds(100),
-                           At(ms));
-    placement.OnEnded(id, AttemptEnd::kAnswered, At(ms));
+    placement.OnFirstEvent(EntryOf(id), tokens, milliseconds(100),
+                           milliseconds(100), At(ms));
+    placement.OnEnded(EntryOf(id), AttemptEnd::kAnswered, At(ms));
   }
 };
 
@@ -155,7 +161,7 @@
   Fixture fixture(9);
   const BackendId slow("engine-0");
   for (int i = 0; i < 30; ++i)
-    fixture.placement.OnFirstEvent(slow, 0, milliseconds(1500),
+    fixture.placement.OnFirstEvent(fixture.EntryOf(slow), 0, milliseconds(1500),
                                    milliseconds(150), At(i));
   int to_slow = 0;
   for (int i = 0; i < 90; ++i) {
@@ -179,7 +185,8 @@
     return count;
   };
   for (int i = 0; i < 10; ++i)
-    fixture.placement.OnEnded(failing, AttemptEnd::kFailed, At(i));
+    fixture.placement.OnEnded(fixture.EntryOf(failing), AttemptEnd::kFailed,
+                              At(i));
   CHECK(count_sent_to_failing(50) == 0);
   CHECK(count_sent_to_failing(60000) > 0);
 }
@@ -187,7 +194,8 @@
 TEST_CASE("A crashed engine is ejected and used only if there is no other",
           "[gateway][srv_crash]") {
   Fixture fixture(2);
-  fixture.placement.OnEnded(BackendId("engine-0"), AttemptEnd::kBroken, At(0));
+  fixture.placement.OnEnded(fixture.EntryOf(BackendId("engine-0")),
+                            AttemptEnd::kBroken, At(0));
   fixture.PrepareRequest("topic", 100, 100);
   CHECK(fixture.Choose(10)->backend->id == BackendId("engine-1"));
   fixture.request.excluded = {BackendId("engine-1")};
@@ -216,13 +224,47 @@
           "[gateway][burst]") {
   Fixture fixture(3);
   fixture.request.zone = ZoneId("zone-0");
-  fixture.placement.OnLoad(BackendId("engine-0"), {64, 40, 64}, At(0));
+  fixture.placement.OnLoad(fixture.EntryOf(BackendId("engine-0")), {64, 40, 64},
+                           At(0));
   fixture.PrepareRequest("topic", 0, 1500);
   CHECK(fixture.Choose(10)->backend->id != BackendId("engine-0"));
   // Old reports lose their weight.
   CHECK(fixture.Choose(10000)->backend->id == BackendId("engine-0"));
 }
 
+// Guards against a start of an engine that is avoided for what broke at the one
+// before, and noticed only after the new one was listed.
+TEST_CASE("What an earlier start does late says nothing of the listed one",
+          "[gateway][srv_crash]") {
+  Fixture fixture(3);
+  fixture.PrepareRequest("topic", 0, 1500);
+  const BackendEntry earlier = fixture.entries[0];
+  REQUIRE(fixture.Place(0) == earlier.id);
+  ++fixture.entries[0].incarnation;
+  REQUIRE(fixture.Choose(10)->in_flight == 1);
+  SECTION("its attempt breaks") {
+    fixture.placement.OnPromptDropped(earlier.id, 1500);
+    fixture.placement.OnEnded(earlier, AttemptEnd::kBroken, At(20));
+  }
+  SECTION("it reports its load") {
+    fixture.placement.OnLoad(earlier, {64, 40, 64}, At(20));
+    fixture.placement.OnPromptDropped(earlier.id, 1500);
+    fixture.placement.OnEnded(earlier, AttemptEnd::kAnswered, At(20));
+  }
+  SECTION("it is slow") {
+    fixture.placement.OnFirstEvent(earlier, 1500, milliseconds(60000),
+                                   milliseconds(1), At(20));
+    fixture.placement.OnEnded(earlier, AttemptEnd::kAnswered, At(20));
+  }
+  const auto choice = fixture.Choose(30);
+  CHECK(choice->backend->id == earlier.id);
+  // The attempt no longer counts as in progress.
+  CHECK(choice->in_flight == 0);
+  CHECK(choice->load_age == std::nullopt);
+  // Prefill alone, as at an idle engine.
+  CHECK(choice->expected_wait < milliseconds(40));
+}
+
 TEST_CASE("Plain requests stay in the local zone until it is busy",
           "[gateway][burst]") {
   Fixture fixture(3, 6);
