--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -49,8 +49,14 @@
   response_status_ = status;
   response_metadata_ = metadata;
   response_fields_ = fields;
+  BackendProcess process;
+  process.listed = backend_->incarnation;
+  if (is_writer_reported_)
+    process.reported = answering_incarnation_;
+  process.connected_at = beginning_.connected_at;
+  process.address = backend_->address;
   ObserveResponse(
-      context_, {*backend_, metadata, chosen_at_, sent_at_},
+      context_, {*backend_, process, metadata, chosen_at_, sent_at_},
       [this](log::Event& event) { AddPlacementFields(event); }, now);
   is_event_stream_ =
       status == 200 && IsStream(route_->kind) &&
@@ -104,7 +110,7 @@
     context_.crash_guard.OnAnswering(crash_traits_, now);
   }
   if (std::exchange(is_prompt_pending_, false)) {
-    context_.placement.OnFirstEvent(backend_->id, choice_.uncached_tokens,
+    context_.placement.OnFirstEvent(*backend_, choice_.uncached_tokens,
                                     duration_cast<milliseconds>(now - sent_at_),
                                     choice_.expected_wait, now);
   }
@@ -308,17 +314,26 @@
   }
   may_have_run_ = true;
   is_confirming_end_ = false;
-  context_.crash_guard.OnAttemptBroken(
-      {crash_traits_, backend_->id, sent_at_, is_answering_, now});
+  context_.crash_guard.OnAttemptBroken({crash_traits_, backend_->id, sent_at_,
+                                        is_answering_, now,
+                                        answering_incarnation_});
   EndAttempt(AttemptEnd::kBroken);
-  // A new connection distinguishes a crash from a lost connection. If it
-  // succeeds, later requests reuse it.
+  // A new connection distinguishes a crash from a lost connection, unless the
+  // backend server is back by then as another process. If it succeeds, later
+  // requests reuse it.
+  std::optional<std::int64_t> writer;
+  if (service_->engine && IsWriterKnown())
+    writer = answering_incarnation_;
   ProbeBackend(
       context_, *backend_, relay_,
-      [&context = context_, backend = *backend_,
+      [&context = context_, backend = *backend_, writer,
        is_relayed = relay_.has_value()](ConnectionPool::Result result) {
         const base::MonoTime connected_at = steady_clock::now();
-        if (auto* connection = std::get_if<BackendConnectionPtr>(&result))
+        auto* connection = std::get_if<BackendConnectionPtr>(&result);
+        if (connection != nullptr && writer)
+          context.connector.OnReconnected(backend, *writer,
+                                          std::move(*connection));
+        else if (connection != nullptr)
           context.pool.PutIdle(backend, std::move(*connection), connected_at);
         else if (std::get<ConnectFailure>(result) != ConnectFailure::kRefused)
           return;
