Avoid an instance that cannot relay for the service that it has lost

The refused ones had connect_failed reason=not_relayed.

Cause: RelaySelector kept a failure for the instance alone.

A refusal (and a backend server that did not answer the relay) is now kept for the instance and the service, no answer for the instance; each has the time at which it was learned. The status no_answer parts the two; it is local, the protocol between instances stays as it was. relay_failed names the service, relay_ended the reason of a refusal, and relay_not_found is new: what the search knew, and how old that was.

Tests: "A neighbor that cannot relay to one service is still asked to relay to another" failed on the old library (0 of 40 served) and passes, as do the other four cases of partitioned_instance_test.cc and the unit tests of the selector, the protocol and the detector.

Open: a search ends after three instances, and what it knows is forgotten after 2 s.

--- a/src/dandelionmill/gateway/backend_connector.cc
+++ b/src/dandelionmill/gateway/backend_connector.cc
@@ -45,6 +45,7 @@
     case RelayStatus::kConnected:
     case RelayStatus::kBackendNotUsable:
       return ConnectFailure::kUnreachable;
+    case RelayStatus::kNoAnswer:
     case RelayStatus::kUnavailable:
       return ConnectFailure::kNotRelayed;
   }
@@ -72,7 +73,7 @@
     timer_.expires_after(kRelayTimeout);
     timer_.async_wait([self = shared_from_this()](error_code error) {
       if (!error)
-        self->Complete(RelayStatus::kUnavailable);
+        self->Complete(RelayStatus::kNoAnswer);
     });
     connection_->socket.async_connect(
         tcp::endpoint(asio::ip::make_address(relay_.address.host),
@@ -87,7 +88,7 @@
     if (!handler_)
       return;
     if (error) {
-      Complete(RelayStatus::kUnavailable);
+      Complete(RelayStatus::kNoAnswer);
       return;
     }
     SetSocketOptions(connection_->socket);
@@ -95,13 +96,13 @@
         connection_->socket, asio::buffer(head_),
         [self = shared_from_this()](error_code problem, std::size_t) {
           if (problem)
-            self->Complete(RelayStatus::kUnavailable);
+            self->Complete(RelayStatus::kNoAnswer);
         });
     http::async_read_header(
         connection_->socket, connection_->buffer, parser_,
         [self = shared_from_this()](error_code problem, std::size_t) {
           self->Complete(
-              problem ? RelayStatus::kUnavailable
+              problem ? RelayStatus::kNoAnswer
                       : ParseRelayStatus(self->parser_.get().result_int()));
         });
   }
@@ -255,10 +256,20 @@
                                          const base::AttemptId& attempt,
                                          int tries,
                                          Handler handler) {
-  const auto relay = tries > 0
-                         ? relays_.Choose(backend.zone, steady_clock::now())
-                         : std::nullopt;
+  const auto relay = tries > 0 ? relays_.Choose(backend.service, backend.zone,
+                                                steady_clock::now())
+                               : std::nullopt;
   if (!relay) {
+    const auto avoided =
+        relays_.AvoidedFor(backend.service, steady_clock::now());
+    log::Event(log::Level::kInfo, "relay_not_found")
+        .With("request", attempt)
+        .With("service", backend.service)
+        .With("tries", kMaxRelayTries - tries)
+        .With("instances", relays_.size())
+        .With("unreachable", avoided.unreachable)
+        .With("refused", avoided.refused)
+        .With("oldest_ms", avoided.oldest);
     asio::post(parts_.loop, [handler = std::move(handler)] {
       handler(ConnectFailure::kNotRelayed);
     });
@@ -273,15 +284,20 @@
                    }
                    log::Event(log::Level::kInfo, "relay_failed")
                        .With("request", attempt)
+                       .With("service", backend.service)
                        .With("backend", backend.id)
                        .With("relay", instance)
                        .With("status", ToString(result.status));
+                   const base::MonoTime now = steady_clock::now();
                    // An instance to which the backend server did not answer may
                    // be partitioned as well.
-                   if (result.status == RelayStatus::kUnavailable ||
-                       result.status == RelayStatus::kBackendTimedOut)
-                     relays_.OnFailed(instance, steady_clock::now());
-                   if (result.status == RelayStatus::kUnavailable)
+                   if (result.status == RelayStatus::kNoAnswer)
+                     relays_.OnUnreachable(instance, now);
+                   else if (result.status == RelayStatus::kUnavailable ||
+                            result.status == RelayStatus::kBackendTimedOut)
+                     relays_.OnRefused(instance, backend.service, now);
+                   if (result.status == RelayStatus::kNoAnswer ||
+                       result.status == RelayStatus::kUnavailable)
                      ConnectThroughAny(backend, attempt, tries - 1,
                                        std::move(handler));
                    else
@@ -318,7 +334,7 @@
   if (!parts_.crash_guard.HasBrokenAttempt(backend.id, now) ||
       refusals_in_check_.count(backend.id) != 0)
     return;
-  const auto relay = relays_.Choose(backend.zone, now);
+  const auto relay = relays_.Choose(backend.service, backend.zone, now);
   if (!relay) {
     // Nobody else can tell.
     if (!IsPartitioned(backend.service))
--- a/src/dandelionmill/gateway/backend_connector.h
+++ b/src/dandelionmill/gateway/backend_connector.h
@@ -74,7 +74,7 @@
  private:
   // What came of an attempt to connect through another instance.
   struct RelayResult {
-    RelayStatus status = RelayStatus::kUnavailable;
+    RelayStatus status = RelayStatus::kNoAnswer;
     // Not null if the status is kConnected.
     BackendConnectionPtr connection;
   };
--- a/src/dandelionmill/gateway/relay_protocol.cc
+++ b/src/dandelionmill/gateway/relay_protocol.cc
@@ -64,6 +64,8 @@
 
 const char* ToString(RelayStatus status) {
   switch (status) {
+    case RelayStatus::kNoAnswer:
+      return "no_answer";
     case RelayStatus::kConnected:
       return "connected";
     case RelayStatus::kBackendNotUsable:
--- a/src/dandelionmill/gateway/relay_protocol.h
+++ b/src/dandelionmill/gateway/relay_protocol.h
@@ -30,6 +30,8 @@
 
 // How the relaying instance responds. The values are status codes.
 enum class RelayStatus {
+  // It did not answer. Never sent.
+  kNoAnswer = 0,
   kConnected = 200,
   // It would not send a request to this backend server.
   kBackendNotUsable = 409,
--- a/src/dandelionmill/gateway/relay_session.cc
+++ b/src/dandelionmill/gateway/relay_session.cc
@@ -89,21 +89,29 @@
           *entry, context_.placement.LoadOf(entry->id, accepted_at_),
           accepted_at_))
     return RelayStatus::kBackendNotUsable;
-  if (context_.is_shutting_down || context_.overload.is_overloaded() ||
-      context_.connector.IsPartitioned(entry->service))
+  const char* reason = context_.is_shutting_down           ? "shutting down"
+                       : context_.overload.is_overloaded() ? "overloaded"
+                       : context_.connector.IsPartitioned(entry->service)
+                           ? "partitioned"
+                           : nullptr;
+  if (reason != nullptr) {
+    refusal_reason_ = reason;
     return RelayStatus::kUnavailable;
+  }
   backend_ = *entry;
   return RelayStatus::kConnected;
 }
 
 void RelaySession::OnBackendConnected(ConnectionPool::Result result) {
   if (const auto* failure = std::get_if<ConnectFailure>(&result)) {
-    if (context_.connector.IsPartitioned(backend_->service))
+    if (context_.connector.IsPartitioned(backend_->service)) {
+      refusal_reason_ = "partitioned";
       Respond(RelayStatus::kUnavailable);
-    else
+    } else {
       Respond(*failure == ConnectFailure::kRefused
                   ? RelayStatus::kBackendRefused
                   : RelayStatus::kBackendTimedOut);
+    }
     return;
   }
   connection_ = std::move(std::get<BackendConnectionPtr>(result));
@@ -119,21 +127,22 @@
     return;
   status_ = status;
   response_ = FormatRelayStatus(status);
-  asio::async_write(socket_, asio::buffer(response_),
-                    [self = shared_from_this()](error_code error, std::size_t) {
-                      if (!self->on_ended_)
-                        return;
-                      if (error || self->status_ != RelayStatus::kConnected) {
-                        self->End(false, error ? "write failed" : "refused");
-                        return;
-                      }
-                      self->to_backend_.source = &self->socket_;
-                      self->to_backend_.sink = &self->connection_->socket;
-                      self->from_backend_.source = &self->connection_->socket;
-                      self->from_backend_.sink = &self->socket_;
-                      self->Relay(self->to_backend_);
-                      self->Relay(self->from_backend_);
-                    });
+  asio::async_write(
+      socket_, asio::buffer(response_),
+      [self = shared_from_this()](error_code error, std::size_t) {
+        if (!self->on_ended_)
+          return;
+        if (error || self->status_ != RelayStatus::kConnected) {
+          self->End(false, error ? "write failed" : self->refusal_reason_);
+          return;
+        }
+        self->to_backend_.source = &self->socket_;
+        self->to_backend_.sink = &self->connection_->socket;
+        self->from_backend_.source = &self->connection_->socket;
+        self->from_backend_.sink = &self->socket_;
+        self->Relay(self->to_backend_);
+        self->Relay(self->from_backend_);
+      });
 }
 
 void RelaySession::Relay(Channel& channel) {
--- a/src/dandelionmill/gateway/relay_session.h
+++ b/src/dandelionmill/gateway/relay_session.h
@@ -70,6 +70,8 @@
   std::optional<BackendEntry> backend_;
   BackendConnectionPtr connection_;
   RelayStatus status_ = RelayStatus::kUnavailable;
+  // Why the request was refused, for the log.
+  const char* refusal_reason_ = "refused";
   std::string response_;
   // Bytes of the response until its head is complete.
   std::string response_head_;
--- a/tests/sessions/gateway/gateway_fixture.cc
+++ b/tests/sessions/gateway/gateway_fixture.cc
@@ -39,9 +39,10 @@
 void RegisterEngine(standins::platform::RowsServer& store,
                     const std::string& id,
                     int port,
-                    const std::string& version) {
+                    const std::string& version,
+                    const std::string& service) {
   store.Put("servers", id,
-            {{"service", "model"},
+            {{"service", service},
              {"address", "127.0.0.1:" + std::to_string(port)},
              {"zone", "north"},
              {"version", version},
--- a/tests/sessions/gateway/gateway_fixture.h
+++ b/tests/sessions/gateway/gateway_fixture.h
@@ -101,7 +101,8 @@
 void RegisterEngine(standins::platform::RowsServer& store,
                     const std::string& id,
                     int port,
-                    const std::string& version = "v1");
+                    const std::string& version = "v1",
+                    const std::string& service = "model");
 
 // A gateway process in a thread, with a stand-in store and engines.
 class GatewayFixture {
--- a/tests/sessions/gateway/partitioned_instance_test.cc
+++ b/tests/sessions/gateway/partitioned_instance_test.cc
@@ -15,6 +15,7 @@
 constexpr int kNeighborStorePort = 28200;
 constexpr int kNeighborPort = 28201;
 constexpr int kUnreachablePort = 28210;
+constexpr int kUnreachableByBothPort = 28220;
 
 // Time in which an instance must have noticed that it is cut off.
 constexpr milliseconds kSettleTime{3000};
@@ -53,13 +54,29 @@
   std::array<int, 4> sockets_;
 };
 
+// Returns a desired state with one more service, "other", and its route
+// /other/ (not idempotent).
+json StateWithOtherService() {
+  json state = DesiredState(1);
+  json route = state["routes"][1];
+  route["name"] = "/other/";
+  route["prefix"] = "/other/";
+  route["service"] = "other";
+  state["routes"].push_back(route);
+  json service = state["services"][0];
+  service["name"] = "other";
+  state["services"].push_back(service);
+  return state;
+}
+
 // An instance that is cut off from the backend servers, and its neighbor, which
 // reaches them. Each reads its own copy of the registry: the addresses in that
 // of the first lead nowhere.
 class PartitionedFixture : public GatewayFixture {
  public:
-  PartitionedFixture() : neighbor_store(kNeighborStorePort) {
-    neighbor_store.Put("op", "config", DesiredState(1));
+  explicit PartitionedFixture(const json& state = DesiredState(1))
+      : GatewayFixture(state), neighbor_store(kNeighborStorePort) {
+    neighbor_store.Put("op", "config", state);
     neighbor_ = std::make_unique<RunningGateway>(
         NodeSettingsFor("front-2", kNeighborPort, kNeighborStorePort));
     WriteHeartbeat();
@@ -78,6 +95,17 @@
     return *engines[id];
   }
 
+  // Registers backend servers of the service "other" that neither the instance
+  // nor its neighbor reaches.
+  void AddUnreachableBackendsOfOther() {
+    for (int i = 0; i < 3; ++i) {
+      const std::string id = "o" + std::to_string(i);
+      const int port = kUnreachableByBothPort + i;
+      for (auto* registry : {&store, &neighbor_store})
+        RegisterEngine(*registry, id, port, "v1", "other");
+    }
+  }
+
   void KillNeighbor() { neighbor_.reset(); }
 
   // Sends requests to `target` until the instance should have noticed the
@@ -167,6 +195,32 @@
   }
 }
 
+// Guards against refusals for want of a relay, although the neighbor reaches
+// the service: it had been asked for another service before, which it has lost
+// too.
+TEST_CASE(
+    "A neighbor that cannot relay to one service is still asked to relay to "
+    "another",
+    "[gateway][partition]") {
+  PartitionedFixture fixture(StateWithOtherService());
+  for (const char* id : {"a", "b", "c"})
+    fixture.AddEngine(id, Complete(id));
+  fixture.AddUnreachableBackendsOfOther();
+  // The neighbor learns from its own callers which service it has lost.
+  for (int i = 0; i < 5; ++i)
+    fixture.Send("/other/x", {}, "{}", kNeighborPort);
+  fixture.Settle("/other/x");
+  fixture.Settle("/once/x");
+
+  int served = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(fixture.Send("/other/x").status == 503);
+    if (fixture.Send("/once/x").status == 200)
+      ++served;
+  }
+  CHECK(served * 3 >= kRequests * 2);
+}
+
 // Guards against sound prompt parts that are quarantined since an instance lost
 // its links while requests with them were running.
 TEST_CASE("Connections that are lost with the links are not counted as crashes",
--- a/tests/unit/gateway/relay_selector_test.cc
+++ b/tests/unit/gateway/relay_selector_test.cc
@@ -12,6 +12,8 @@
 
 const base::ZoneId kOwnZone("north");
 const base::ZoneId kBackendZone("south");
+const base::ServiceId kService("model");
+const base::ServiceId kOtherService("other");
 
 Instance InZone(const std::string& id, const std::string& zone) {
   return {base::InstanceId(id), {"127.0.0.1", 1}, base::ZoneId(zone)};
@@ -20,11 +22,13 @@
 constexpr base::MonoTime kNow{std::chrono::hours(1)};
 
 // Returns how often each instance is chosen in 300 choices.
-std::map<std::string, int> CountChoices(RelaySelector& selector,
-                                        base::MonoTime now) {
+std::map<std::string, int> CountChoices(
+    RelaySelector& selector,
+    base::MonoTime now,
+    const base::ServiceId& service = kService) {
   std::map<std::string, int> counts;
   for (int i = 0; i < 300; ++i) {
-    const auto chosen = selector.Choose(kBackendZone, now);
+    const auto chosen = selector.Choose(service, kBackendZone, now);
     ++counts[chosen ? chosen->id.value() : "none"];
   }
   return counts;
@@ -37,7 +41,7 @@
 TEST_CASE("Relayed connections are spread over the nearest able instances",
           "[gateway][partition]") {
   RelaySelector selector(kOwnZone, 1);
-  CHECK_FALSE(selector.Choose(kBackendZone, kNow));
+  CHECK_FALSE(selector.Choose(kService, kBackendZone, kNow));
   selector.SetInstances({InZone("own-1", "north"), InZone("own-2", "north"),
                          InZone("far", "east"), InZone("by-backend", "south")});
   std::map<std::string, int> counts = CountChoices(selector, kNow);
@@ -45,15 +49,46 @@
   CHECK(counts["own-2"] > 90);
   CHECK(counts.size() == 2);
 
-  selector.OnFailed(base::InstanceId("own-1"), kNow);
+  selector.OnUnreachable(base::InstanceId("own-1"), kNow);
   CHECK(CountChoices(selector, kNow)["own-2"] == 300);
-  selector.OnFailed(base::InstanceId("own-2"), kNow);
+  selector.OnUnreachable(base::InstanceId("own-2"), kNow);
   CHECK(CountChoices(selector, kNow)["by-backend"] == 300);
-  selector.OnFailed(base::InstanceId("by-backend"), kNow);
+  selector.OnUnreachable(base::InstanceId("by-backend"), kNow);
   CHECK(CountChoices(selector, kNow)["far"] == 300);
-  selector.OnFailed(base::InstanceId("far"), kNow);
+  selector.OnUnreachable(base::InstanceId("far"), kNow);
   CHECK(CountChoices(selector, kNow)["none"] == 300);
 
   const auto later = kNow + RelaySelector::kAvoidanceTime;
   CHECK(CountChoices(selector, later).size() == 2);
 }
+
+// Guards against refusals while a neighbor reaches the service: it had refused
+// to relay to another service, which it has lost too.
+TEST_CASE(
+    "An instance that cannot relay to one service is avoided for that service "
+    "alone",
+    "[gateway][partition]") {
+  RelaySelector selector(kOwnZone, 1);
+  selector.SetInstances({InZone("own", "north"), InZone("far", "east")});
+  const base::InstanceId own("own");
+
+  SECTION("it refused to") {
+    selector.OnRefused(own, kOtherService, kNow);
+    CHECK(CountChoices(selector, kNow, kOtherService)["far"] == 300);
+    CHECK(CountChoices(selector, kNow, kService)["own"] == 300);
+    const auto soon = kNow + std::chrono::milliseconds(70);
+    CHECK(selector.AvoidedFor(kOtherService, soon).refused == 1);
+    CHECK(selector.AvoidedFor(kOtherService, soon).oldest ==
+          std::chrono::milliseconds(70));
+    CHECK(selector.AvoidedFor(kService, soon).refused == 0);
+
+    const auto later = kNow + RelaySelector::kAvoidanceTime;
+    CHECK(CountChoices(selector, later, kOtherService)["own"] == 300);
+  }
+  SECTION("it did not answer, which concerns all services") {
+    selector.OnUnreachable(own, kNow);
+    CHECK(CountChoices(selector, kNow, kOtherService)["far"] == 300);
+    CHECK(CountChoices(selector, kNow, kService)["far"] == 300);
+    CHECK(selector.AvoidedFor(kService, kNow).unreachable == 1);
+  }
+}
