Stop the loop of the soak's proxies before they are destroyed

Cause: the test destroyed its proxy on its own thread while the loop's thread still ran. The last connection of the test was accepted there during ~FaultProxy: the accept handler used the list of connections that the destructor was freeing. Evidence: the case alone, on a busy machine, 11 of 60 runs with SIGSEGV; with AddressSanitizer and detect_stack_use_after_return 1 of 15, heap-use-after-free in FaultProxy::Accept's handler on the loop's thread, freed by ~FaultProxy on the test's thread (0 of 20 without that option, 0 of 25 under gdb). Change: LoopThread, declared after the proxies, stops and joins the loop before they go, in the tests and in Fleet, there also when the constructor throws. A proxy that is destroyed while its loop has not been stopped ends the process with a message.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cerrno>
+#include <cstdlib>
+#include <iostream>
 
 namespace soak {
 namespace {
@@ -149,6 +151,14 @@
   Accept();
 }
 
+FaultProxy::~FaultProxy() {
+  if (loop_.stopped())
+    return;
+  std::cerr << "fault proxy on port " << port_
+            << " destroyed while its loop may run\n";
+  std::abort();
+}
+
 void FaultProxy::Accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted)
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -14,7 +14,8 @@
 namespace soak {
 
 // A TCP proxy on the loopback interface that injects link faults. All methods
-// that change its state are thread-safe.
+// that change its state are thread-safe. The loop must have been stopped, and
+// the thread that ran it joined, before a proxy is destroyed.
 class FaultProxy {
  public:
   // Listens on `port` and forwards each connection to port `target`. Throws
@@ -25,6 +26,11 @@
              int port,
              int target,
              bool ends_with_target = false);
+  // Ends the process if the loop has not been stopped, as handlers on its
+  // thread may be using the proxy.
+  ~FaultProxy();
+  FaultProxy(const FaultProxy&) = delete;
+  FaultProxy& operator=(const FaultProxy&) = delete;
 
   // Pauses forwarding towards the target, or towards the client. Data is
   // delayed, not lost, as on a link where TCP retransmits lost packets.
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -137,8 +137,6 @@
 
 Fleet::Fleet(FleetOptions options)
     : options_(std::move(options)),
-      work_(loop_.get_executor()),
-      link_thread_([this] { loop_.run(); }),
       store_(options_.base_port),
       gateways_(options_.gateways),
       boots_(options_.gateways),
@@ -181,12 +179,6 @@
     AddBackend();
 }
 
-Fleet::~Fleet() {
-  // Proxies refer to each other on the loop's thread.
-  loop_.stop();
-  link_thread_.join();
-}
-
 std::string Fleet::GatewaySettingsPath(int gateway) const {
   return options_.folder + "/gateway-" + std::to_string(gateway) + ".json";
 }
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -1,7 +1,6 @@
 #ifndef TESTS_SOAK_FLEET_H_
 #define TESTS_SOAK_FLEET_H_
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
@@ -9,12 +8,12 @@
 #include <random>
 #include <set>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "standins/platform/rows_server.h"
 #include "tests/soak/child_process.h"
 #include "tests/soak/fault_proxy.h"
+#include "tests/soak/loop_thread.h"
 #include "tests/soak/records.h"
 
 namespace soak {
@@ -65,7 +64,6 @@
 class Fleet {
  public:
   explicit Fleet(FleetOptions options);
-  ~Fleet();
 
   const FleetOptions& options() const { return options_; }
 
@@ -153,9 +151,6 @@
 
   const FleetOptions options_;
   boost::asio::io_context loop_{1};
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      work_;
-  std::thread link_thread_;
   standins::platform::RowsServer store_;
   std::vector<std::unique_ptr<FaultProxy>> caller_links_;
   std::vector<std::unique_ptr<FaultProxy>> store_links_;
@@ -171,6 +166,9 @@
   int next_backend_ = 0;
   std::vector<ConfigVersion> versions_;
   std::int64_t small_prepaid_ = 4000;
+  // The last member, so that it ends before the proxies, also if the
+  // constructor throws.
+  LoopThread link_thread_{loop_};
 };
 
 // Account names.
--- a/tests/unit/soak/fault_proxy_test.cc
+++ b/tests/unit/soak/fault_proxy_test.cc
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
@@ -10,9 +9,12 @@
 #include <memory>
 #include <thread>
 
+#include "tests/soak/loop_thread.h"
+
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 using soak::FaultProxy;
+using soak::LoopThread;
 
 namespace {
 
@@ -24,24 +26,6 @@
   return {boost::asio::ip::make_address("127.0.0.1"), port};
 }
 
-// Runs the loop of a proxy on a thread.
-class LoopThread {
- public:
-  LoopThread()
-      : guard_(loop_.get_executor()), thread_([this] { loop_.run(); }) {}
-  ~LoopThread() {
-    loop_.stop();
-    thread_.join();
-  }
-  boost::asio::io_context& loop() { return loop_; }
-
- private:
-  boost::asio::io_context loop_;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      guard_;
-  std::thread thread_;
-};
-
 }  // namespace
 
 TEST_CASE(
@@ -52,8 +36,9 @@
   for (int round = 0; round < 20; ++round) {
     boost::asio::io_context loop;
     tcp::acceptor target(loop, EndpointOf(kTargetPort));
-    LoopThread proxy_thread;
-    FaultProxy proxy(proxy_thread.loop(), kPort, kTargetPort, true);
+    boost::asio::io_context proxy_loop;
+    FaultProxy proxy(proxy_loop, kPort, kTargetPort, true);
+    const LoopThread proxy_thread(proxy_loop);
     tcp::socket client(loop);
     client.connect(EndpointOf(kPort));
     tcp::socket accepted = target.accept();
@@ -76,8 +61,9 @@
     "[soak]") {
   boost::asio::io_context loop;
   auto target = std::make_unique<tcp::acceptor>(loop, EndpointOf(kTargetPort));
-  LoopThread proxy_thread;
-  FaultProxy proxy(proxy_thread.loop(), kPort, kTargetPort, true);
+  boost::asio::io_context proxy_loop;
+  FaultProxy proxy(proxy_loop, kPort, kTargetPort, true);
+  const LoopThread proxy_thread(proxy_loop);
   const auto connect = [&loop] {
     tcp::socket client(loop);
     error_code error;
@@ -118,9 +104,10 @@
           "[soak]") {
   boost::asio::io_context loop;
   auto target = std::make_unique<tcp::acceptor>(loop, EndpointOf(kTargetPort));
-  LoopThread proxy_thread;
-  FaultProxy used(proxy_thread.loop(), kPort, kTargetPort, true);
-  FaultProxy unused(proxy_thread.loop(), kOtherPort, kTargetPort, true);
+  boost::asio::io_context proxy_loop;
+  FaultProxy used(proxy_loop, kPort, kTargetPort, true);
+  FaultProxy unused(proxy_loop, kOtherPort, kTargetPort, true);
+  const LoopThread proxy_thread(proxy_loop);
   used.ShareTarget({&used, &unused});
   target.reset();
   used.CheckTarget();
