Soak: release a software version while a gateway is without the store

No fault of the soak did this: new servers had one of the two first versions. Change: the fault ReleaseVersion, in every third seed, with a third software version and the loss of the store at one gateway until the old servers are gone; these seeds have the longer streams that break often. A server that comes back changes between the first two versions, and from the third to the first. The checks are as they were: at most two streams with two versions, none unless a server that ran it came back. The report counts streams_taken_up_without_store.

--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -54,6 +54,10 @@
 constexpr milliseconds kMaxAbsence{2500};
 constexpr milliseconds kMaxEntryDelay{1200};
 constexpr milliseconds kMaxTurnedAway{6000};
+constexpr unsigned kReleaseSeed = 0x52454c45;
+// A gateway loses the store this long before a release, at most.
+constexpr milliseconds kMaxReleaseLead{2500};
+constexpr milliseconds kMaxReleaseInterval{400};
 constexpr unsigned kUpgradeSeed = 0x55504752;
 // A replaced gateway has this long to become ready.
 constexpr milliseconds kMaxReadinessTime{3000};
@@ -221,6 +225,36 @@
   }
 }
 
+// Whether a seed has a release, as about every third has. Leaves `random` where
+// the further draws for it begin.
+bool DrawRelease(std::mt19937& random) {
+  return random() % 3 == 0;
+}
+
+// Adds a release of a software version to about every third seed. One gateway
+// is turned away by the store, or gets nothing from it, from before the release
+// until the old servers have left.
+void AddRelease(unsigned seed,
+                int gateways,
+                std::vector<PlannedFault>& faults) {
+  std::mt19937 random(seed ^ kReleaseSeed);
+  if (!DrawRelease(random))
+    return;
+  const milliseconds start(kMaxReleaseLead + milliseconds(random() % 1500));
+  const milliseconds lead(random() % (kMaxReleaseLead.count() + 1));
+  const int gateway = static_cast<int>(random() % gateways);
+  Fault loss = TurnGatewayAway{gateway};
+  if (random() % 2 == 0)
+    loss = DegradeStoreLink{gateway, LinkFault::kPauseBoth};
+  faults.push_back({start - lead,
+                    lead + kDrainTime + kRouteTimeout +
+                        milliseconds(random() % kMaxTurnedAway.count() / 2),
+                    loss});
+  faults.push_back(
+      {start, kDrainTime + kRouteTimeout,
+       ReleaseVersion{milliseconds(random() % kMaxReleaseInterval.count())}});
+}
+
 }  // namespace
 
 std::vector<GatewayReplacement> PlanUpgrade(unsigned seed,
@@ -246,7 +280,8 @@
 Workload PlanWorkload(unsigned seed) {
   std::mt19937 random(seed ^ kWorkloadSeed);
   Workload workload;
-  if (random() % 3 == 0)
+  std::mt19937 release(seed ^ kReleaseSeed);
+  if (random() % 3 == 0 && !DrawRelease(release))
     return workload;
   workload.event_interval = milliseconds(20 + random() % 80);
   workload.failure_percent = 4 + random() % 20;
@@ -292,6 +327,7 @@
   AddRestores(seed, length, gateways, faults);
   AddPartition(seed, gateways, faults);
   AddReturns(seed, length, gateways, faults);
+  AddRelease(seed, gateways, faults);
   std::stable_sort(faults.begin(), faults.end(),
                    [](const PlannedFault& a, const PlannedFault& b) {
                      return a.start < b.start;
@@ -375,6 +411,33 @@
   fleet_.ReleaseBackend(id);
 }
 
+void FaultInjector::Retire(const std::string& id) {
+  Drain(id);
+  fleet_.RemoveBackendEntry(id);
+  // Lets requests that are still running finish.
+  std::this_thread::sleep_for(kRouteTimeout);
+  const std::size_t index = BeginDisturbance(
+      Component::kBackend, Category::kUnplanned, -1, "backend gone");
+  fleet_.StopBackend(id);
+  EndDisturbance(index);
+}
+
+void FaultInjector::Release(const ReleaseVersion& fault) {
+  const std::size_t index =
+      BeginDisturbance(Component::kBackend, Category::kPlanned, -1, "release");
+  std::list<std::thread> leaving;
+  for (const std::string& id : fleet_.unreleased_backends()) {
+    if (!fleet_.ClaimBackend(id))
+      continue;
+    fleet_.AddBackend(kReleasedSoftwareVersion);
+    leaving.emplace_back([this, id] { Retire(id); });
+    std::this_thread::sleep_for(fault.interval);
+  }
+  for (std::thread& thread : leaving)
+    thread.join();
+  EndDisturbance(index);
+}
+
 void FaultInjector::DegradeLinks(const std::vector<FaultProxy*>& links,
                                  LinkFault link_fault,
                                  milliseconds duration) {
@@ -669,12 +732,7 @@
             if (id.empty())
               return;
             fleet_.AddBackend();
-            Drain(id);
-            fleet_.RemoveBackendEntry(id);
-            // Lets requests that are still running finish.
-            std::this_thread::sleep_for(kRouteTimeout);
-            record_during(Component::kBackend, -1, "backend gone",
-                          [&] { fleet_.StopBackend(id); });
+            Retire(id);
           },
           [&](const ChangeConfiguration&) {
             StoreConfigurations("changes", 3, planned.duration / 4);
@@ -700,6 +758,7 @@
             Partition(planned, fault.gateway);
           },
           [&](const ReturnBackend& fault) { Return(planned, fault); },
+          [&](const ReleaseVersion& fault) { Release(fault); },
           [&](const TurnGatewayAway& fault) {
             record_during(Component::kStore, fault.gateway, "turned away", [&] {
               fleet_.SetTurnedAway(fault.gateway, true);
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -102,6 +102,12 @@
   bool changes_version;
   std::chrono::milliseconds entry_delay;
 };
+// Releases a new software version: for each backend server with another one, a
+// server with the new version starts under an id of its own, `interval` after
+// the one before, and the old one drains and leaves.
+struct ReleaseVersion {
+  std::chrono::milliseconds interval;
+};
 // The store turns one gateway away and serves the others.
 struct TurnGatewayAway {
   int gateway;
@@ -135,7 +141,8 @@
                            PauseBackend,
                            PartitionGateway,
                            ReturnBackend,
-                           TurnGatewayAway>;
+                           TurnGatewayAway,
+                           ReleaseVersion>;
 
 struct PlannedFault {
   std::chrono::milliseconds start{0};
@@ -149,9 +156,10 @@
 // configurations, each with gateways that lose the store meanwhile, and about
 // as many add prompts that crash backend servers, request limits, backend
 // servers that say they leave or ask for a pause, restores of the store, a
-// gateway that is partitioned from the backend servers, or backend servers that
-// come back under their ids while gateways are turned away or frozen. A pure
-// function.
+// gateway that is partitioned from the backend servers, backend servers that
+// come back under their ids while gateways are turned away or frozen, or a
+// release of a new software version while a gateway can't reach the store. A
+// pure function.
 std::vector<PlannedFault> PlanFaults(unsigned seed,
                                      std::chrono::milliseconds length,
                                      int gateways);
@@ -177,8 +185,8 @@
                                             int gateways);
 
 // Returns what callers ask for and how backend servers answer: as by default,
-// or, for two seeds of three on average, with longer streams that are broken
-// off more often. A pure function.
+// or, for two seeds of three on average and those with a release, with longer
+// streams that are broken off more often. A pure function.
 Workload PlanWorkload(unsigned seed);
 
 // Injects faults and records them. Inject blocks until its fault has been
@@ -229,6 +237,9 @@
   // the index of the announcement.
   std::size_t Drain(const std::string& id);
   void Return(const PlannedFault& planned, const ReturnBackend& fault);
+  // Drains a claimed backend server and ends it.
+  void Retire(const std::string& id);
+  void Release(const ReleaseVersion& fault);
   // Returns the id of a random backend server, or an empty string if fewer than
   // three are running.
   std::string ChooseBackend();
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/fleet.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <filesystem>
@@ -278,7 +279,7 @@
          std::string(answer + 9, 3) == "200";
 }
 
-std::string Fleet::AddBackend() {
+std::string Fleet::AddBackend(std::optional<std::size_t> version) {
   const std::lock_guard<std::mutex> lock(mutex_);
   // Ports are reused, as addresses are in a deployment.
   const int slot = next_backend_ % kBackendSlots;
@@ -287,7 +288,8 @@
   backend.slot = slot;
   backend.run_log = options_.folder + "/" + id + ".runs";
   run_logs_[id] = backend.run_log;
-  backend.version = static_cast<std::size_t>(slot) % kSoftwareVersions.size();
+  backend.version =
+      version.value_or(static_cast<std::size_t>(slot) % kFirstSoftwareVersions);
   StartBackend(id, backend);
   const int port = options_.base_port + kBackendOffset + slot;
   for (int gateway = 0; gateway < options_.gateways; ++gateway) {
@@ -356,7 +358,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     Backend& backend = backends_.at(id);
     if (changes_version)
-      backend.version = 1 - backend.version;
+      backend.version = backend.version == 0 ? 1 : 0;
     backend.is_listed = true;
     StartBackend(id, backend);
     slot = backend.slot;
@@ -426,6 +428,18 @@
   return ids;
 }
 
+std::vector<std::string> Fleet::unreleased_backends() const {
+  std::vector<std::string> ids = backends();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ids.erase(std::remove_if(ids.begin(), ids.end(),
+                           [this](const std::string& id) {
+                             return backends_.at(id).version ==
+                                    kReleasedSoftwareVersion;
+                           }),
+            ids.end());
+  return ids;
+}
+
 std::vector<std::shared_ptr<FaultProxy>> Fleet::backend_links(
     const std::string& id) {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -91,8 +92,9 @@
   bool IsReady(int gateway) const;
   void RewriteSettings(int gateway);
 
-  // Backend servers are identified by name.
-  std::string AddBackend();
+  // Backend servers are identified by name. Without a version, an index in
+  // kSoftwareVersions, a new server has one of those from the start.
+  std::string AddBackend(std::optional<std::size_t> version = std::nullopt);
   // Excludes a server from backends() and from replacement until it is
   // released, and while it is gone. Returns false if it was excluded already.
   bool ClaimBackend(const std::string& id);
@@ -108,6 +110,8 @@
   void ReplaceCrashedBackends();
 
   std::vector<std::string> backends() const;
+  // The same, but for those that run the released software version.
+  std::vector<std::string> unreleased_backends() const;
 
   // Stores the next configuration version, with a new key for the changing
   // account, more prepaid tokens for the small one and one new route in place
--- a/tests/soak/records.h
+++ b/tests/soak/records.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -29,8 +30,11 @@
 // How long a backend server turns requests away when it asks for a pause.
 inline constexpr std::chrono::milliseconds kPauseTime{3000};
 
-// Software versions of backend servers, which serve side by side.
-inline const std::array<std::string, 2> kSoftwareVersions = {"v1", "v2"};
+// Software versions of backend servers, which serve side by side. The last one
+// comes with a release, the others are there from the start.
+inline const std::array<std::string, 3> kSoftwareVersions = {"v1", "v2", "v3"};
+inline constexpr std::size_t kFirstSoftwareVersions = 2;
+inline constexpr std::size_t kReleasedSoftwareVersion = 2;
 
 inline bool IsRetryable(Kind kind) {
   return kind == Kind::kIdempotent || kind == Kind::kResumableStream;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -153,12 +153,26 @@
   }
 }
 
+// Whether the request was sent while a fault kept its gateway, and not all of
+// them, from the store.
+bool IsWithoutStore(const Records& records, const Request& request) {
+  return std::any_of(records.disturbances.begin(), records.disturbances.end(),
+                     [&](const Disturbance& disturbance) {
+                       return disturbance.component ==
+                                  Disturbance::Component::kStore &&
+                              disturbance.target == request.gateway &&
+                              disturbance.from <= request.sent &&
+                              disturbance.until >= request.sent;
+                     });
+}
+
 json Summarize(const Records& records,
                const std::vector<std::size_t>& store_links) {
   json statuses = json::object();
   int incomplete = 0;
   int taken_up = 0;
   int taken_up_whole = 0;
+  int taken_up_without_store = 0;
   int cut_but_complete = 0;
   std::map<std::string, std::int64_t> taken_up_after;
   for (const Exchange& exchange : records.exchanges) {
@@ -167,6 +181,8 @@
     if (!exchange.request.resumes.empty()) {
       ++taken_up;
       taken_up_whole += outcome.has_expected_body ? 1 : 0;
+      taken_up_without_store +=
+          IsWithoutStore(records, exchange.request) ? 1 : 0;
     }
     if (IsStream(exchange.request.kind) && outcome.status == 200 &&
         outcome.is_complete && outcome.is_in_order)
@@ -187,6 +203,7 @@
   return {{"requests", records.exchanges.size()},
           {"streams_taken_up", taken_up},
           {"streams_taken_up_whole", taken_up_whole},
+          {"streams_taken_up_without_store", taken_up_without_store},
           {"streams_went_on_within_answer", went_on.size()},
           {"streams_joined", FindJoinedStreams(records).size()},
           {"streams_cut_but_complete", cut_but_complete},
--- a/tests/unit/soak/plan_test.cc
+++ b/tests/unit/soak/plan_test.cc
@@ -120,6 +120,51 @@
   CHECK(drained >= kSeeds / 4);
 }
 
+// Guards against streams that go on at a new software version at a gateway that
+// doesn't know of its servers.
+TEST_CASE(
+    "A quarter of the seeds releases a software version while a gateway is "
+    "without the store, and has callers that take up streams",
+    "[soak]") {
+  constexpr unsigned kSeeds = 60;
+  unsigned turned_away = 0;
+  unsigned silent = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    const auto faults = PlanFaults(seed, milliseconds(6000), 3);
+    const auto release =
+        std::find_if(faults.begin(), faults.end(), [](const auto& planned) {
+          return std::holds_alternative<ReleaseVersion>(planned.fault);
+        });
+    if (release == faults.end())
+      continue;
+    CHECK(release->start < milliseconds(6000));
+    CHECK(PlanWorkload(seed).hang_up_percent >= 20);
+    // From at most 2.5 s before the release until the old servers have left.
+    const auto spans = [&](const PlannedFault& loss) {
+      return loss.start >= release->start - milliseconds(2500) &&
+             loss.start <= release->start &&
+             loss.start + loss.duration >= release->start + release->duration;
+    };
+    bool has_loss = false;
+    for (const PlannedFault& loss : faults) {
+      if (!spans(loss))
+        continue;
+      const auto* link = std::get_if<DegradeStoreLink>(&loss.fault);
+      const bool is_silent =
+          link != nullptr && link->link_fault == LinkFault::kPauseBoth;
+      const bool is_turned_away =
+          std::holds_alternative<TurnGatewayAway>(loss.fault);
+      silent += is_silent ? 1 : 0;
+      turned_away += is_turned_away ? 1 : 0;
+      has_loss |= is_silent || is_turned_away;
+    }
+    CHECK(has_loss);
+  }
+  CHECK(turned_away + silent >= kSeeds / 4);
+  CHECK(turned_away > 0);
+  CHECK(silent > 0);
+}
+
 TEST_CASE("Some seeds have long streams that are broken off often, some not",
           "[soak]") {
   unsigned longer = 0;
