Let a proxy of the soak that refuses drop what it accepted just before

If the acceptor is closed (Refuse, a crashed target) while the handler of a further accept is queued, that connection is forwarded although the proxy refuses, and Accept on the closed acceptor fails at once, again and again, which keeps the loop of all links busy until the proxy accepts again. Cause: the handler went by its error alone, which is success for an accept that was complete.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -161,7 +161,8 @@
 
 void FaultProxy::Accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted)
+    // A connection may have been accepted just before the acceptor was closed.
+    if (error == asio::error::operation_aborted || !acceptor_.is_open())
       return;
     if (!error) {
       auto connection = std::make_shared<Connection>(*this, std::move(socket));
--- a/tests/unit/soak/fault_proxy_test.cc
+++ b/tests/unit/soak/fault_proxy_test.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
@@ -100,6 +101,35 @@
   CHECK(connect());
 }
 
+// Guards against an endless series of failing accepts, and a connection that is
+// forwarded although connections are refused.
+TEST_CASE(
+    "A proxy that begins to refuse drops a connection that was accepted "
+    "just before and accepts no other",
+    "[soak]") {
+  constexpr std::size_t kMaxHandlers = 100;
+  boost::asio::io_context loop;
+  tcp::acceptor target(loop, EndpointOf(kTargetPort));
+  boost::asio::io_context proxy_loop;
+  FaultProxy proxy(proxy_loop, kPort, kTargetPort, true);
+  tcp::socket first(loop);
+  first.connect(EndpointOf(kPort));
+  tcp::socket second(loop);
+  second.connect(EndpointOf(kPort));
+  // Queues the first accept before Refuse; the second one follows the first at
+  // once, and its handler comes after Refuse.
+  boost::asio::post(proxy_loop, [] {});
+  proxy_loop.run_one();
+  proxy.Refuse();
+  CHECK(proxy_loop.run_for(std::chrono::milliseconds(100)) < kMaxHandlers);
+  std::array<char, 16> bytes;
+  error_code error;
+  second.non_blocking(true);
+  second.read_some(boost::asio::buffer(bytes), error);
+  CHECK(error != boost::asio::error::would_block);
+  proxy_loop.stop();
+}
+
 TEST_CASE("All proxies to a crashed target refuse connections, used or not",
           "[soak]") {
   boost::asio::io_context loop;
