Keep a request limit over the late listing of the process that named it

A limit that a server named before the registry listed its new start was lost when the new entry came: until its next response the instances that had seen it sent without a limit.

Cause: as with pauses, the limit was filed under the listed incarnation. It is now filed under the process, and holds for an entry that may be its own for 5 s after the last response, so that an instance without a share does not keep a limit that has ended with a restart. Limits that other instances report keep the incarnation alone; the row in the store is unchanged (the reported incarnation, else the listed one).

--- a/src/dandelionmill/gateway/backend_reports.cc
+++ b/src/dandelionmill/gateway/backend_reports.cc
@@ -57,7 +57,8 @@
   const auto encode_limit =
       [&value](const RequestLimits::Observation& observation) {
         value["backend"] = observation.backend.value();
-        value["incarnation"] = observation.incarnation;
+        value["incarnation"] =
+            observation.process.reported.value_or(observation.process.listed);
         value["requests_per_s"] = observation.requests_per_s
                                       ? json(*observation.requests_per_s)
                                       : json(nullptr);
@@ -83,7 +84,8 @@
       RequestLimits::Observation observation;
       observation.backend =
           base::BackendId(decoded.at("backend").get<std::string>());
-      observation.incarnation = decoded.at("incarnation").get<std::int64_t>();
+      observation.process.listed =
+          decoded.at("incarnation").get<std::int64_t>();
       if (!decoded["requests_per_s"].is_null())
         observation.requests_per_s = decoded["requests_per_s"].get<double>();
       return ReportRow{process, observation, number};
--- a/src/dandelionmill/gateway/request_limits.cc
+++ b/src/dandelionmill/gateway/request_limits.cc
@@ -74,13 +74,12 @@
   const double requests_per_s =
       std::max(*observation.requests_per_s, kMinRequestsPerS);
   const bool is_new = known == limits_.end() ||
-                      known->second.incarnation != observation.incarnation;
+                      !known->second.process.IsSameAs(observation.process);
   Limit& limit = limits_[observation.backend];
   const bool has_changed =
       is_new || HasChanged(limit.requests_per_s, requests_per_s);
   if (is_new) {
     limit = Limit();
-    limit.incarnation = observation.incarnation;
     // The instances begin one after the other.
     limit.share = ShareOf(observation.backend, requests_per_s);
     if (limit.share)
@@ -89,6 +88,8 @@
   } else if (limit.requests_per_s != requests_per_s) {
     limit.share = ShareOf(observation.backend, requests_per_s);
   }
+  if (is_new || observation.process.connected_at > limit.process.connected_at)
+    limit.process = observation.process;
   limit.requests_per_s = requests_per_s;
   return has_changed;
 }
@@ -141,14 +142,22 @@
   return std::exchange(observations_, {});
 }
 
-bool RequestLimits::Admits(const BackendEntry& backend,
-                           base::MonoTime now) const {
+const RequestLimits::Limit* RequestLimits::Find(const BackendEntry& backend,
+                                                base::MonoTime now) const {
   const auto known = limits_.find(backend.id);
-  if (known == limits_.end() ||
-      known->second.incarnation != backend.incarnation)
-    return true;
+  if (known == limits_.end())
+    return nullptr;
   const Limit& limit = known->second;
-  return limit.share && now >= limit.next_at;
+  const bool applies =
+      limit.process.IsOf(backend) || (limit.process.MayBeOf(backend) &&
+                                      now - limit.named_at < kMaxUnprovenTime);
+  return applies ? &limit : nullptr;
+}
+
+bool RequestLimits::Admits(const BackendEntry& backend,
+                           base::MonoTime now) const {
+  const Limit* limit = Find(backend, now);
+  return limit == nullptr || (limit->share && now >= limit->next_at);
 }
 
 std::optional<milliseconds> RequestLimits::TimeUntilAdmitted(
--- a/src/dandelionmill/gateway/request_limits.h
+++ b/src/dandelionmill/gateway/request_limits.h
@@ -11,6 +11,7 @@
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/gateway/backend_entry.h"
+#include "dandelionmill/gateway/backend_process.h"
 
 namespace dandelionmill::gateway {
 
@@ -23,13 +24,18 @@
  public:
   // Limits below this count as this, so that the end of a limit is noticed.
   static constexpr double kMinRequestsPerS = 0.1;
+  // How long a limit holds for an entry that may be that of the process: no
+  // response shows meanwhile to an instance without a share that it does not.
+  static constexpr std::chrono::milliseconds kMaxUnprovenTime{5000};
   // Relative change of a limit above which the other instances are informed.
   static constexpr double kMinReportedChange = 0.1;
 
   // What a response says about the limit of its backend server.
   struct Observation {
     base::BackendId backend;
-    std::int64_t incarnation = 0;
+    // The process that responded. Of an observation of another instance, only
+    // its incarnation is known.
+    BackendProcess process;
     // Requests per second; not set if it names none.
     std::optional<double> requests_per_s;
   };
@@ -71,7 +77,7 @@
     std::size_t instances = 1;
   };
   struct Limit {
-    std::int64_t incarnation = 0;
+    BackendProcess process;
     double requests_per_s = 0;
     // Not set if this instance does not share the limit.
     std::optional<Share> share;
@@ -83,6 +89,8 @@
     std::optional<double> reported;
   };
 
+  // Returns the limit of the listed process; nullptr if it has none.
+  const Limit* Find(const BackendEntry& backend, base::MonoTime now) const;
   // Returns nothing if this instance does not share the limit.
   std::optional<Share> ShareOf(const base::BackendId& backend,
                                double requests_per_s) const;
--- a/src/dandelionmill/gateway/response_observer.cc
+++ b/src/dandelionmill/gateway/response_observer.cc
@@ -33,7 +33,7 @@
   if (metadata.load)
     context.placement.OnLoad(backend, *metadata.load, now);
   if (context.request_limits.OnResponse(
-          {backend.id, backend.incarnation, metadata.requests_per_s},
+          {backend.id, response.process, metadata.requests_per_s},
           response.sent_at, now)) {
     log::Event event(log::Level::kInfo, "backend_limit_changed");
     add_fields(event);
--- a/tests/unit/gateway/backend_reports_test.cc
+++ b/tests/unit/gateway/backend_reports_test.cc
@@ -50,7 +50,7 @@
   BackendReports to(guard, other, table, "front-2/y");
   const auto share = [&](std::optional<double> limit, int ms) {
     const base::MonoTime at = now + std::chrono::milliseconds(ms);
-    observer.OnResponse({backend, 7, limit}, at, at);
+    observer.OnResponse({backend, {7, std::nullopt, {}, {}}, limit}, at, at);
     from.Publish(at);
     loop.restart();
     loop.run();
@@ -224,7 +224,9 @@
   const auto value = [](std::optional<double> limit, std::uint64_t number) {
     return EncodeReportRow(
         {"front-2/y",
-         RequestLimits::Observation{base::BackendId("i-1"), 7, limit}, number});
+         RequestLimits::Observation{
+             base::BackendId("i-1"), {7, std::nullopt, {}, {}}, limit},
+         number});
   };
   const auto stored_row = [&] {
     return dandelionmill::storage::VersionedRow{
--- a/tests/unit/gateway/request_limits_test.cc
+++ b/tests/unit/gateway/request_limits_test.cc
@@ -16,16 +16,24 @@
   return base::MonoTime(std::chrono::hours(1)) + milliseconds(ms);
 }
 
-BackendEntry Backend(std::int64_t incarnation = 1) {
+const base::BootTime kConnectedAt{std::chrono::hours(2)};
+
+// An entry that was listed `after` the connections on which limits are named
+// were opened.
+BackendEntry Backend(std::int64_t incarnation = 1,
+                     milliseconds after = milliseconds(60000)) {
   BackendEntry backend;
   backend.id = base::BackendId("limited");
   backend.incarnation = incarnation;
+  backend.unlisted_until = kConnectedAt + after;
   return backend;
 }
 
 RequestLimits::Observation Named(std::optional<double> limit,
                                  std::int64_t incarnation = 1) {
-  return {base::BackendId("limited"), incarnation, limit};
+  return {base::BackendId("limited"),
+          {incarnation, std::nullopt, kConnectedAt, {}},
+          limit};
 }
 
 // Instances that all know one limit; the first `unknown` of them are not known
@@ -131,6 +139,18 @@
   }
   SECTION("a restart of the backend server ends it") {
     CHECK(limits.Admits(Backend(2), At(140)));
+    CHECK(limits.Admits(Backend(2, milliseconds(2000)), At(140)));
+  }
+  SECTION("the late entry of the process that named it does not end it") {
+    const BackendEntry late = Backend(2, milliseconds(1999));
+    CHECK_FALSE(limits.Admits(late, At(140)));
+    SECTION("also if another instance reports it") {
+      limits.MergeObservation({late.id, {1, std::nullopt, {}, {}}, 1}, At(140));
+      CHECK_FALSE(limits.Admits(late, At(150)));
+    }
+    SECTION("but does so if no response names it for long") {
+      CHECK(limits.Admits(late, At(5110)));
+    }
   }
 }
 
