--- a/src/dandelionmill/gateway/backend_reports.cc
+++ b/src/dandelionmill/gateway/backend_reports.cc
@@ -55,7 +55,7 @@
 RequestLimits::Observation ReadLimit(const json& row) {
   RequestLimits::Observation observation;
   observation.backend = base::BackendId(row.at("backend").get<std::string>());
-  observation.incarnation = ReadInteger(row, "incarnation");
+  observation.process.listed = ReadInteger(row, "incarnation");
   const json& limit = row.at("requests_per_s");
   if (limit.is_null())
     return observation;
@@ -103,7 +103,8 @@
   const auto encode_limit =
       [&value](const RequestLimits::Observation& observation) {
         value["backend"] = observation.backend.value();
-        value["incarnation"] = observation.incarnation;
+        value["incarnation"] =
+            observation.process.reported.value_or(observation.process.listed);
         value["requests_per_s"] = observation.requests_per_s
                                       ? json(*observation.requests_per_s)
                                       : json(nullptr);
