Close the gaps that the review of the records of versions found

An engineer who had not seen the work reviewed and showed these with unit cases that failed on it:

- After a restore, the first renewed row made the records look whole, although a row of another version was lost.
Rows name the era only once no stream can be older than it.
- A row that was read, not written, was taken as one that no delete can meet any more: a version that is listed again, or was known from the store only, is written again.
- A process that had stood still for a minute deleted the row of a version that others had listed until then, and after any gap of 30 s every version had to be recorded anew while streams were refused.
What was listed before a gap counts as listed after it.
- Rows that were unlisted for 31 to 60 s were never renewed.
- One more page, or one row that cannot be read, kept a process from being ready.

By reading: a stream began at a process that had reported another incarnation than the listed one; a restart that was listed between choice and sending went unnoticed; a version that is about to be recorded made resumes end with 410 rather than 503; a row of a service with an unreadable time counted as old.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -577,8 +577,11 @@
         .With("connected", report.connection != nullptr)
         .With("is_listed", is_listed);
   }
-  if ((is_listed || (report.connection && !IsResume())) &&
-      !IsChoiceOutdated(now)) {
+  // A stream that begins at another start than the listed one may have a
+  // version that the store has no record of.
+  const bool may_begin =
+      !IsResume() && report.connection && !report.incarnation;
+  if ((is_listed || may_begin) && !IsChoiceOutdated(now)) {
     SendRequest(std::move(report.connection));
     return;
   }
@@ -591,8 +594,10 @@
 }
 
 bool Exchange::IsChoiceOutdated(base::MonoTime now) const {
+  const BackendEntry* listed = context_.directory.Find(backend_->id);
   return context_.backoff.IsPaused(*backend_, now) ||
-         context_.directory.IsLeaving(*backend_);
+         context_.directory.IsLeaving(*backend_) ||
+         (listed != nullptr && listed->incarnation != backend_->incarnation);
 }
 
 void Exchange::SendRequest(BackendConnectionPtr connection) {
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -113,7 +113,7 @@
   std::optional<std::string> BegunVersion() const;
   void SendRequest(BackendConnectionPtr connection);
   // Whether the chosen backend server has said, since it was chosen, that it
-  // leaves or wants no requests for some time.
+  // leaves or wants no requests for some time, or another start is listed.
   bool IsChoiceOutdated(base::MonoTime now) const;
   // Returns whether the request may be sent to another backend server. If so,
   // takes one extra attempt from the allowance; otherwise sets
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -127,8 +127,7 @@
            [this](base::BootTime) { OnRegistryCurrent(); },
            [this](const TableFollower::Restore& restore) {
              context_.directory.OnStoreRestored(restore.call_started);
-             context_.service_versions.OnStoreRestored(
-                 restore.era, std::chrono::steady_clock::now());
+             context_.version_records.OnStoreRestored(restore.era);
            }}),
       crash_follower_(
           loop,
--- a/src/dandelionmill/gateway/service_versions.cc
+++ b/src/dandelionmill/gateway/service_versions.cc
@@ -8,13 +8,26 @@
 void ServiceVersions::OnListed(const base::ServiceId& service,
                                const std::set<std::string>& versions,
                                base::MonoTime now) {
+  if (last_reading_ && now - *last_reading_ > kMaxReadingGap) {
+    for (auto& [id, known] : services_) {
+      for (auto& [version, state] : known) {
+        if (state.last_listed)
+          state.last_listed = now;
+      }
+    }
+  }
+  last_reading_ = now;
+  const bool is_first = listed_services_.insert(service).second;
   for (const std::string& version : versions) {
-    State& state = services_[service]
-                       .try_emplace(version, State{now, now, false, {}, {}})
-                       .first->second;
-    // Others may have deleted the record of a version that was not listed.
-    if (state.last_listed && now - *state.last_listed > kMemory)
+    const auto [found, is_new] =
+        services_[service].try_emplace(version, State());
+    State& state = found->second;
+    if (is_new)
+      state.first_known = now;
+    if (!is_first && !is_new && !IsListed(state, now)) {
       state.is_recorded = false;
+      state.is_relisted = true;
+    }
     state.last_listed = now;
   }
 }
@@ -40,6 +53,8 @@
       State& read = found->second;
       read.last_listed = state.last_listed;
       read.first_known = state.first_known;
+      read.is_relisted = state.is_relisted;
+      read.is_recorded = read.is_recorded && !state.is_relisted;
       if (!is_missing && state.is_recorded)
         read.recorded_at = state.recorded_at;
       if (is_missing && !IsListed(state, now))
@@ -48,18 +63,19 @@
   }
 }
 
-void ServiceVersions::OnRecorded(const std::vector<ServiceVersion>& recorded,
-                                 std::optional<std::uint64_t> written_era,
+void ServiceVersions::OnRecorded(const std::vector<ServiceVersionRow>& rows,
+                                 std::optional<std::uint64_t> sent_in,
                                  std::optional<std::uint64_t> era,
                                  base::MonoTime now) {
   // A restored store may lack what was written before.
-  if (!AcceptsEra(era, now) || written_era != era)
+  if (!AcceptsEra(era, now) || sent_in != era)
     return;
-  for (const ServiceVersion& name : recorded) {
-    State& state = services_[name.service][name.version];
+  for (const ServiceVersionRow& row : rows) {
+    State& state = services_[row.name.service][row.name.version];
     state.is_recorded = true;
+    state.is_relisted = false;
     state.recorded_at = now;
-    state.era = era;
+    state.era = row.era;
   }
 }
 
@@ -69,6 +85,9 @@
     return false;
   if (era && era_ && *era > *era_)
     OnStoreRestored(*era, now);
+  // It is not known how long ago the first known era began.
+  if (era && !era_)
+    renewable_at_ = std::max(renewable_at_, now + kMemory);
   era_ = era;
   return true;
 }
@@ -77,7 +96,7 @@
   if (era_ && *era_ >= era)
     return;
   era_ = era;
-  renewable_at_ = std::min(renewable_at_, now);
+  renewable_at_ = std::max(renewable_at_, now + kMemory);
   for (auto& [service, versions] : services_) {
     for (auto& [version, state] : versions) {
       // Copies are some seconds old.
@@ -97,19 +116,36 @@
   return state != found->second.end() && state->second.is_recorded;
 }
 
-std::vector<ServiceVersion> ServiceVersions::Unrecorded(
+std::vector<ServiceVersionRow> ServiceVersions::Unrecorded(
     base::MonoTime now) const {
-  std::vector<ServiceVersion> unrecorded;
+  std::vector<ServiceVersionRow> unrecorded;
   for (const auto& [service, versions] : services_) {
+    const bool is_any_current =
+        std::any_of(versions.begin(), versions.end(), [this](const auto& item) {
+          return item.second.is_recorded && item.second.era == era_;
+        });
+    const bool is_renewable = now >= renewable_at_;
+    const std::optional<std::uint64_t> era =
+        is_renewable || is_any_current ? era_ : std::nullopt;
     for (const auto& [version, state] : versions) {
-      const bool is_renewable = now >= renewable_at_ && state.era != era_;
-      if (IsListed(state, now) && (!state.is_recorded || is_renewable))
-        unrecorded.push_back({service, version});
+      const bool is_missing = IsListed(state, now) && !state.is_recorded;
+      const bool is_outdated =
+          is_renewable && state.era != era_ && !IsExpired(state, now);
+      if (is_missing || is_outdated)
+        unrecorded.push_back({{service, version}, era});
     }
   }
   return unrecorded;
 }
 
+bool ServiceVersions::NeedsStreamRows(const base::ServiceId& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || found->second.size() != 1)
+    return true;
+  const State& state = found->second.begin()->second;
+  return !state.is_recorded || state.era != era_;
+}
+
 bool ServiceVersions::IsMixed(const base::ServiceId& service) const {
   const auto found = services_.find(service);
   return found != services_.end() && found->second.size() > 1;
@@ -133,7 +169,7 @@
     if (!is_any_listed)
       continue;
     for (const auto& [version, state] : versions) {
-      if (now - state.last_listed.value_or(state.first_known) > kRetention)
+      if (IsExpired(state, now))
         expired.push_back({service, version});
     }
   }
@@ -157,8 +193,9 @@
     return Incomplete();
   if (const auto found = services_.find(service); found != services_.end()) {
     for (const auto& [version, state] : found->second) {
-      if (IsListed(state, now))
-        versions.insert(version);
+      // A row that is about to be written.
+      if (IsListed(state, now) && versions.count(version) == 0)
+        return Incomplete();
     }
   }
   if (versions.size() > 1)
--- a/src/dandelionmill/gateway/service_versions.h
+++ b/src/dandelionmill/gateway/service_versions.h
@@ -45,6 +45,9 @@
   static constexpr std::chrono::seconds kMemory{30};
   // Time since a version was last listed after which its record is deleted.
   static constexpr std::chrono::seconds kRetention{60};
+  // Time between two readings of the registry above which versions may have
+  // been listed unseen.
+  static constexpr std::chrono::seconds kMaxReadingGap{10};
 
   // What the records of a service show of the streams that have begun.
   // All have begun at this version.
@@ -69,10 +72,10 @@
   void OnRead(const std::vector<ServiceVersionRow>& rows,
               std::optional<std::uint64_t> era,
               base::MonoTime now);
-  // Records of the versions, which name `written_era`, have been written in
-  // this era of the store.
-  void OnRecorded(const std::vector<ServiceVersion>& recorded,
-                  std::optional<std::uint64_t> written_era,
+  // Rows have been written in this era of the store. `sent_in` is the era that
+  // was known when the write was sent.
+  void OnRecorded(const std::vector<ServiceVersionRow>& rows,
+                  std::optional<std::uint64_t> sent_in,
                   std::optional<std::uint64_t> era,
                   base::MonoTime now);
   // The store was restored from an older copy, which may lack late records.
@@ -84,8 +87,13 @@
   // Whether streams that may be resumed can begin at the version.
   bool IsRecorded(const base::ServiceId& service,
                   const std::string& version) const;
-  // Returns the listed versions that have to be recorded.
-  std::vector<ServiceVersion> Unrecorded(base::MonoTime now) const;
+  // Returns the rows that have to be written. A row names the era only if all
+  // streams that can still be taken up began when the store had the rows of
+  // this service.
+  std::vector<ServiceVersionRow> Unrecorded(base::MonoTime now) const;
+  // Whether the records do not show for each stream of the service at which
+  // version it began, so that each needs a row of its own.
+  bool NeedsStreamRows(const base::ServiceId& service) const;
   // Whether the service has, or had of late, several versions.
   bool IsMixed(const base::ServiceId& service) const;
   std::vector<base::ServiceId> MixedServices() const;
@@ -105,6 +113,9 @@
     std::optional<base::MonoTime> last_listed;
     base::MonoTime first_known{};
     bool is_recorded = false;
+    // Others may be deleting its row, so that it has to be written even if it
+    // is read.
+    bool is_relisted = false;
     base::MonoTime recorded_at{};
     std::optional<std::uint64_t> era;
   };
@@ -114,11 +125,17 @@
   static bool IsListed(const State& state, base::MonoTime now) {
     return state.last_listed && now - *state.last_listed <= kMemory;
   }
+  static bool IsExpired(const State& state, base::MonoTime now) {
+    return now - state.last_listed.value_or(state.first_known) > kRetention;
+  }
 
   std::map<base::ServiceId, std::map<std::string, State>> services_;
+  // Services of which the registry has listed versions.
+  std::set<base::ServiceId> listed_services_;
+  std::optional<base::MonoTime> last_reading_;
   std::optional<std::uint64_t> era_;
-  // From when on this process may renew records of an earlier era: when it
-  // knows all versions at which streams may have begun before the restore.
+  // From when on rows that this process writes may name the era: no stream that
+  // can still be taken up began before the era did.
   base::MonoTime renewable_at_;
 };
 
--- a/src/dandelionmill/gateway/stream_records.cc
+++ b/src/dandelionmill/gateway/stream_records.cc
@@ -82,7 +82,7 @@
                             base::MonoTime now) {
   const base::ServiceId service = beginning.service;
   versions_.OnBegun(attempt, std::move(beginning), now);
-  if (service_versions_.IsMixed(service))
+  if (service_versions_.NeedsStreamRows(service))
     SchedulePublish(now);
 }
 
@@ -282,12 +282,16 @@
           handler(StoreUnavailable());
           return;
         }
-        const bool was_mixed =
-            !answer.rows.empty() &&
-            answer.store_time - WrittenAt(json::parse(answer.rows.front().value,
-                                                      nullptr, false)) <
-                kMixedMemory;
-        if (was_mixed)
+        const auto written_at =
+            answer.rows.empty()
+                ? std::chrono::milliseconds(0)
+                : WrittenAt(
+                      json::parse(answer.rows.front().value, nullptr, false));
+        // A row that cannot be read may be a recent one.
+        const bool is_unreadable =
+            !answer.rows.empty() && written_at.count() == 0;
+        if (is_unreadable || (!answer.rows.empty() &&
+                              answer.store_time - written_at < kMixedMemory))
           handler(Unknown());
         else
           handler(found);
--- a/src/dandelionmill/gateway/stream_versions.cc
+++ b/src/dandelionmill/gateway/stream_versions.cc
@@ -31,7 +31,7 @@
   for (auto it = order_.rbegin(); it != order_.rend() && unshared.size() < max;
        ++it) {
     Stream& stream = streams_.at(*it);
-    if (stream.is_shared || !services.IsMixed(stream.beginning.service))
+    if (stream.is_shared || !services.NeedsStreamRows(stream.beginning.service))
       continue;
     stream.is_shared = true;
     unshared.push_back({*it, stream.beginning.version});
--- a/src/dandelionmill/gateway/stream_versions.h
+++ b/src/dandelionmill/gateway/stream_versions.h
@@ -63,8 +63,8 @@
   // that began there on later connections is unknown.
   void OnVersionReplaced(const base::BackendId& backend,
                          base::BootTime read_at);
-  // Returns up to `max` streams that were not returned before and whose service
-  // has several versions.
+  // Returns up to `max` streams that were not returned before and need rows of
+  // their own.
   std::vector<Begun> TakeUnshared(std::size_t max,
                                   const ServiceVersions& services);
   // Forgets what is older than kMemory.
--- a/src/dandelionmill/gateway/version_records.cc
+++ b/src/dandelionmill/gateway/version_records.cc
@@ -29,15 +29,13 @@
               base::StableHash(name.service.value() + "\n" + name.version))};
 }
 
-std::string Encode(const ServiceVersion& name,
-                   std::optional<std::uint64_t> era,
-                   std::chrono::milliseconds at) {
-  json row = {{"service", name.service.value()},
-              {"version", name.version},
-              {"at_ms", at.count()}};
-  if (era)
-    row["era"] = *era;
-  return row.dump();
+std::string Encode(const ServiceVersionRow& row, std::chrono::milliseconds at) {
+  json value = {{"service", row.name.service.value()},
+                {"version", row.name.version},
+                {"at_ms", at.count()}};
+  if (row.era)
+    value["era"] = *row.era;
+  return value.dump();
 }
 
 // Returns nothing if the row is malformed.
@@ -76,6 +74,11 @@
   Read();
 }
 
+void VersionRecords::OnStoreRestored(std::uint64_t era) {
+  versions_.OnStoreRestored(era, steady_clock::now());
+  Read();
+}
+
 void VersionRecords::Update(base::MonoTime now) {
   if (!has_read_)
     Read();
@@ -118,11 +121,13 @@
   is_reading_ = false;
   is_scheduled_ = false;
   const base::MonoTime now = steady_clock::now();
-  const bool is_whole = answer.outcome == storage::CallOutcome::kDone &&
-                        !answer.has_more && answer.malformed_rows == 0;
-  std::vector<ServiceVersionRow> rows;
-  if (is_whole) {
-    rows = Decode(answer.rows);
+  const bool is_read = answer.outcome == storage::CallOutcome::kDone;
+  const std::vector<ServiceVersionRow> rows = Decode(answer.rows);
+  // A row that cannot be read may name any service.
+  const bool is_whole = is_read && !answer.has_more &&
+                        answer.malformed_rows == 0 &&
+                        rows.size() == answer.rows.size();
+  if (is_read) {
     versions_.OnRead(rows, answer.era, now);
     has_read_ = true;
     store_time_ = answer.store_time;
@@ -137,9 +142,9 @@
   if (!waiters_.empty())
     Read();
   for (Waiter& waiter : waiters) {
-    if (is_whole && rows.size() == answer.rows.size()) {
+    if (is_whole) {
       waiter.handler(versions_.Judge(waiter.service, rows, answer.era, now));
-    } else if (is_whole) {
+    } else if (is_read) {
       waiter.handler(ServiceVersions::Judgement(ServiceVersions::Incomplete()));
     } else {
       waiter.handler(StoreUnavailable());
@@ -148,36 +153,36 @@
 }
 
 void VersionRecords::Record(base::MonoTime now) {
-  std::vector<ServiceVersion> unrecorded = versions_.Unrecorded(now);
-  if (unrecorded.empty() || std::exchange(is_writing_, true))
+  std::vector<ServiceVersionRow> rows = versions_.Unrecorded(now);
+  if (rows.empty() || std::exchange(is_writing_, true))
     return;
-  if (unrecorded.size() > kMaxRows)
-    unrecorded.resize(kMaxRows);
+  if (rows.size() > kMaxRows)
+    rows.resize(kMaxRows);
   storage::RowChange change;
-  const std::optional<std::uint64_t> era = versions_.era();
-  for (const ServiceVersion& name : unrecorded)
-    change.puts.push_back({KeyOf(name), Encode(name, era, store_time_)});
+  for (const ServiceVersionRow& row : rows)
+    change.puts.push_back({KeyOf(row.name), Encode(row, store_time_)});
   table_.Commit(std::move(change), kCallTimeout,
-                [this, unrecorded, era](const storage::TableResponse& answer) {
-                  OnRecorded(answer, unrecorded, era);
+                [this, rows, sent_in = versions_.era()](
+                    const storage::TableResponse& answer) {
+                  OnRecorded(answer, rows, sent_in);
                 });
 }
 
 void VersionRecords::OnRecorded(const storage::TableResponse& answer,
-                                const std::vector<ServiceVersion>& recorded,
-                                std::optional<std::uint64_t> written_era) {
+                                const std::vector<ServiceVersionRow>& rows,
+                                std::optional<std::uint64_t> sent_in) {
   is_writing_ = false;
   const bool is_done = answer.outcome == storage::CallOutcome::kDone;
-  for (const ServiceVersion& name : recorded) {
+  for (const ServiceVersionRow& row : rows) {
     log::Event(is_done ? log::Level::kInfo : log::Level::kWarning,
                is_done ? "version_recorded" : "version_not_recorded")
-        .With("service", name.service)
-        .With("version", name.version)
+        .With("service", row.name.service)
+        .With("version", row.name.version)
+        .With("era", row.era ? std::to_string(*row.era) : "")
         .With("detail", answer.detail);
   }
   if (is_done)
-    versions_.OnRecorded(recorded, written_era, answer.era,
-                         steady_clock::now());
+    versions_.OnRecorded(rows, sent_in, answer.era, steady_clock::now());
 }
 
 void VersionRecords::DeleteExpired(const storage::TableResponse& answer,
--- a/src/dandelionmill/gateway/version_records.h
+++ b/src/dandelionmill/gateway/version_records.h
@@ -38,6 +38,8 @@
   void Start();
   // Spreads the first writes of a new version over time among `instances`.
   void SetInstanceCount(int instances) { instance_count_ = instances; }
+  // The store was restored from an older copy.
+  void OnStoreRestored(std::uint64_t era);
   // Writes what is not recorded yet and deletes what has expired. Call when
   // the registry has been read, and every few hundred milliseconds.
   void Update(base::MonoTime now);
@@ -65,8 +67,8 @@
   // Writes the listed versions that are not recorded.
   void Record(base::MonoTime now);
   void OnRecorded(const storage::TableResponse& answer,
-                  const std::vector<ServiceVersion>& recorded,
-                  std::optional<std::uint64_t> written_era);
+                  const std::vector<ServiceVersionRow>& rows,
+                  std::optional<std::uint64_t> sent_in);
   // Deletes rows of `answer` that have expired and were not written since.
   void DeleteExpired(const storage::TableResponse& answer, base::MonoTime now);
 
--- a/tests/unit/gateway/stream_versions_test.cc
+++ b/tests/unit/gateway/stream_versions_test.cc
@@ -38,19 +38,25 @@
   return {kService, kBackend, std::move(version), connected_at, false};
 }
 
-// A process with an empty memory: what it knows comes from the registry and the
-// store.
+// A process that has known the era of the store for a minute, or since its
+// start only. What else it knows comes from the registry and the store.
 struct Process {
-  explicit Process(boost::asio::io_context& loop, tests::FakeTable& table)
-      : records({loop, streams, services, version_records, table},
+  explicit Process(boost::asio::io_context& loop,
+                   tests::FakeTable& table,
+                   bool is_young = false)
+      : services(steady_clock::now() - std::chrono::minutes(is_young ? 0 : 1)),
+        records({loop, streams, services, version_records, table},
                 steady_clock::now()),
-        version_records(loop, services, table, 1) {}
+        version_records(loop, services, table, 1) {
+    if (!is_young)
+      services.OnRead({}, 0, steady_clock::now() - std::chrono::minutes(1));
+  }
 
   void List(const std::set<std::string>& versions) {
     services.OnListed(kService, versions, steady_clock::now());
   }
 
-  ServiceVersions services{steady_clock::now()};
+  ServiceVersions services;
   StreamVersions streams;
   StreamRecords records;
   VersionRecords version_records;
@@ -65,8 +71,9 @@
     loop.run();
   }
   // Starts a process and records the versions that it lists.
-  std::unique_ptr<Process> Start(const std::set<std::string>& listed) {
-    auto process = std::make_unique<Process>(loop, table);
+  std::unique_ptr<Process> Start(const std::set<std::string>& listed,
+                                 bool is_young = false) {
+    auto process = std::make_unique<Process>(loop, table, is_young);
     process->List(listed);
     process->version_records.Start();
     Run();
@@ -102,6 +109,8 @@
   StreamVersions versions;
   ServiceVersions services(At(0));
   services.OnListed(kService, {"v1"}, At(30000));
+  services.OnRecorded({{{kService, "v1"}, std::nullopt}}, std::nullopt,
+                      std::nullopt, At(30000));
   versions.OnBegun(kAttempt, Begun("v1"), At(30000));
   versions.OnRegistryRead(BootAt(30000));
   CHECK(versions.VersionOf(kAttempt, BootAt(30000)) == "v1");
@@ -228,7 +237,7 @@
   CHECK(fixture.Find({"v2"}) == "v2");
   CHECK(fixture.Find({}) == "v2");
   // The finder lists another one, which is not recorded yet.
-  CHECK(fixture.Find({"v3"}) == "unknown");
+  CHECK(fixture.Find({"v3"}) == "unavailable");
 }
 
 // Guards against streams that go on at the only version of an old list although
@@ -272,24 +281,66 @@
 
 // Guards against streams that go on at the only version of a store that was
 // restored from a copy without the record of the other one.
-TEST_CASE(
-    "A restored store shows no only version until its records are renewed",
-    "[gateway]") {
+TEST_CASE("A restored store shows no only version for as long as streams last",
+          "[gateway]") {
   RecordsFixture fixture;
-  const auto process = fixture.Start({"v1"});
+  const auto outdated = fixture.Start({"v1"});
   fixture.table.TakeCopy();
-  process->List({"v1", "v2"});
-  process->version_records.Update(steady_clock::now());
-  fixture.Run();
+  const auto current = fixture.Start({"v1", "v2"});
+  CHECK(current->services.IsRecorded(kService, "v2"));
   fixture.table.Restore();
   CHECK(fixture.Find({"v1"}) == "unavailable");
-  process->services.OnStoreRestored(1, steady_clock::now());
-  CHECK_FALSE(process->services.IsRecorded(kService, "v2"));
-  process->version_records.Update(steady_clock::now());
-  fixture.Run();
+  SECTION("also if the first to renew the records has an older list") {
+    outdated->version_records.OnStoreRestored(1);
+    fixture.Run();
+    outdated->version_records.Update(steady_clock::now());
+    fixture.Run();
+    CHECK(fixture.FindAt(*outdated) == "unavailable");
+    CHECK(fixture.Find({"v1"}) == "unavailable");
+  }
+  SECTION("also if a later process has recorded another version alone") {
+    const auto later = fixture.Start({"v3"}, true);
+    CHECK(later->services.IsRecorded(kService, "v3"));
+    CHECK(fixture.FindAt(*later) == "unavailable");
+  }
+  SECTION("and streams begin only at versions that are recorded again") {
+    current->version_records.OnStoreRestored(1);
+    CHECK_FALSE(current->services.IsRecorded(kService, "v2"));
+    fixture.Run();
+    CHECK(current->services.IsRecorded(kService, "v1"));
+    CHECK(current->services.IsRecorded(kService, "v2"));
+  }
+}
+
+// Guards against streams whose version only a process knew that has ended.
+TEST_CASE("Streams have rows of their own until the records name the era",
+          "[gateway]") {
+  RecordsFixture fixture;
+  const auto now = steady_clock::now();
+  const auto process = fixture.Start({"v1"}, true);
   CHECK(process->services.IsRecorded(kService, "v1"));
-  CHECK(process->services.IsRecorded(kService, "v2"));
-  CHECK(fixture.Find({"v1"}) == "unknown");
+  CHECK(fixture.Find({"v1"}) == "unavailable");
+  process->records.OnBegun(kAttempt, Begun("v1"), now);
+  process->records.Publish(now);
+  fixture.Run();
+  CHECK(fixture.Find({"v1"}) == "v1");
+  CHECK(process->services.NeedsStreamRows(kService));
+  CHECK_FALSE(fixture.Start({"v1"})->services.NeedsStreamRows(kService));
+}
+
+TEST_CASE("A process is ready although it cannot read all records",
+          "[gateway]") {
+  RecordsFixture fixture;
+  const auto first = fixture.Start({"v1", "v2"});
+  SECTION("as there are too many") {
+    fixture.table.SetPageRows(1);
+  }
+  SECTION("as one is malformed") {
+    fixture.table.Put(VersionRecords::kTable, "", "1", "[]");
+  }
+  const auto later = fixture.Start({"v1", "v2"});
+  CHECK(later->version_records.has_read());
+  CHECK(fixture.FindAt(*later) == "unavailable");
 }
 
 TEST_CASE("A malformed record of a version leaves streams without a version",
