--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -266,6 +266,8 @@
     for (const auto& item : change.puts)
       rows_[{item.key.table, item.key.part, item.key.key}] = {
           item.key, item.value, version_, false};
+    for (const auto& key : change.deletes)
+      rows_[{key.table, key.part, key.key}] = {key, "", version_, true};
     answer = Done();
     return answer;
   }
--- a/tests/unit/gateway/stream_versions_test.cc
+++ b/tests/unit/gateway/stream_versions_test.cc
@@ -3,7 +3,9 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <utility>
 
+#include "dandelionmill/base/digest.h"
 #include "dandelionmill/gateway/stream_records.h"
 #include "tests/support/fake_table.h"
 
@@ -352,3 +354,46 @@
   fixture.table.Put(VersionRecords::kTable, "", "1", value);
   CHECK(fixture.Find({"v1"}) == "unavailable");
 }
+
+// Guards against streams that an earlier build began at another version.
+TEST_CASE("A young process believes an earlier build that a service was mixed",
+          "[gateway]") {
+  RecordsFixture fixture;
+  const auto process = fixture.Start({"v1"});
+  CHECK(fixture.Find({"v1"}) == "v1");
+  const std::string value = GENERATE(R"({"at_ms":100000,"version":""})", "[]",
+                                     "{}", R"({"at_ms":"100000"})");
+  fixture.table.Put(StreamRecords::kTable, "", "service model", value);
+  CHECK(fixture.Find({"v1"}) == "unknown");
+}
+
+TEST_CASE("The record of a version that was not listed for long is deleted",
+          "[gateway]") {
+  RecordsFixture fixture;
+  const auto now = steady_clock::now();
+  const auto writer = fixture.Start({"v1", "v2"});
+  Process process(fixture.loop, fixture.table);
+  process.services.OnListed(kService, {"v1", "v2"}, now - seconds(70));
+  for (int s = 65; s >= 0; s -= 5)
+    process.services.OnListed(kService, {"v2"}, now - seconds(s));
+  SECTION("") {
+    process.version_records.Start();
+    fixture.Run();
+    CHECK(fixture.Find({"v2"}) == "v2");
+  }
+  SECTION("but not if it was written since it was read") {
+    bool is_first = true;
+    fixture.table.AfterRead([&](int) {
+      if (!std::exchange(is_first, false))
+        return;
+      const std::string key = std::to_string(
+          base::StableHash(kService.value() + "\n" + std::string("v1")));
+      fixture.table.Put(VersionRecords::kTable, "", key,
+                        R"({"service":"model","version":"v1","era":0})");
+    });
+    process.version_records.Start();
+    fixture.Run();
+    CHECK(fixture.table.conflicts() == 1);
+    CHECK(fixture.Find({"v2"}) == "unknown");
+  }
+}
