--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -89,6 +89,19 @@
   void OnReserved(prepaid::ReserveOutcome outcome);
   // Chooses a backend server and sends the request to it.
   void StartAttempt();
+  PlacementRequest MakePlacementRequest() const;
+  // Removes the backend servers that may not run the request, whatever their
+  // load. Returns the refusal if that leaves none and the reason is known.
+  std::optional<Refusal> RemoveIneligible(
+      std::vector<const BackendEntry*>& backends) const;
+  // Excludes from `request` those of `backends` that take no request now.
+  void ExcludeUnavailable(const std::vector<const BackendEntry*>& backends,
+                          PlacementRequest& request,
+                          base::MonoTime now) const;
+  // Records the choice and resets the state of the current attempt.
+  void BeginAttempt(const PlacementChoice& choice,
+                    const PlacementRequest& request,
+                    base::MonoTime now);
   void Connect();
   void OnConnected(ConnectionPool::Result result);
   // Chooses another backend server after one could not be reached, unless
