Keep load reports with a fourth figure; placement.cc in parts

Cause: ParseLoad accepts exactly three figures. Where machines are shared, servers send a fourth one, so that every report was discarded.

Change: the known figures are kept, further ones are ignored. Counts below 0 or above 1,000,000, and reports over 512 bytes, are malformed. A malformed report gets a log line, backend_load_malformed, at most one in 10 s for each server. Reports with the fourth figure go to scheduling/load_estimate, which nothing uses yet (LoadReportUse::is_enabled is off). placement.cc is split: cache estimate, cost, state, and the choice itself.

--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -4,11 +4,9 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
-#include <list>
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -16,85 +14,15 @@
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/gateway/backend_entry.h"
+#include "dandelionmill/gateway/placement_cost.h"
 #include "dandelionmill/gateway/placement_policy.h"
+#include "dandelionmill/gateway/placement_request.h"
+#include "dandelionmill/gateway/placement_state.h"
 #include "dandelionmill/gateway/request_metadata.h"
+#include "dandelionmill/scheduling/load_estimate.h"
 
 namespace dandelionmill::gateway {
 
-// Estimates which prompt parts a backend server has cached, from the requests
-// that this instance sent to it. Evicts the least recently used parts. Pure.
-class PromptCacheEstimate {
- public:
-  // `capacity` is in tokens.
-  explicit PromptCacheEstimate(base::Tokens capacity = 0)
-      : capacity_(capacity) {}
-
-  void SetCapacity(base::Tokens capacity) { capacity_ = capacity; }
-  // The backend server has received a prompt with these parts.
-  void Add(const std::vector<PromptPart>& parts);
-  void Clear();
-  // Returns the number of leading prompt tokens that are cached.
-  base::Tokens CachedTokens(const std::vector<PromptPart>& parts) const;
-
- private:
-  struct Entry {
-    std::string id;
-    base::Tokens tokens;
-  };
-
-  base::Tokens capacity_;
-  base::Tokens used_ = 0;
-  // Most recently used first.
-  std::list<Entry> entries_;
-  std::unordered_map<std::string, std::list<Entry>::iterator> by_id_;
-};
-
-// The properties of a request that placement depends on.
-struct PlacementRequest {
-  base::ZoneId zone;
-  // Set for model engines.
-  const ModelRequest* model = nullptr;
-  // Backend servers that must not be chosen, since they have been tried.
-  std::set<base::BackendId> excluded;
-  // Largest number of requests from this instance to one backend server, so
-  // that its connection limit is kept.
-  int max_in_flight = 1 << 20;
-  // Longest wait for which the response counts as on time.
-  std::chrono::milliseconds latency_objective{1000};
-  // Bytes of the request plus the estimated bytes of its response.
-  std::size_t bytes = 0;
-};
-
-struct PlacementChoice {
-  const BackendEntry* backend = nullptr;
-  // Expected time to the response or to the first event of a stream.
-  std::chrono::milliseconds expected_wait{0};
-  // Estimated prompt tokens that are not cached and need prefill.
-  base::Tokens uncached_tokens = 0;
-  // Whether `backend` is the home of the shared prompt, which all instances
-  // prefer.
-  bool is_home = false;
-
-  // Inputs of the decision, for logs: requests in flight from this instance,
-  // and the age of the load report; not set if there has been no report.
-  int in_flight = 0;
-  std::optional<std::chrono::milliseconds> load_age;
-};
-
-// How an attempt at a backend server ended, as seen by this instance.
-enum class AttemptEnd {
-  kAnswered,
-  // It responded with an error of its own.
-  kFailed,
-  // It reported that it did not run the request.
-  kRejected,
-  // The connection failed or could not be opened.
-  kBroken,
-  // The caller disconnected, a deadline passed or this instance shuts down;
-  // does not count against the backend server.
-  kAbandoned,
-};
-
 // Chooses the backend server with the lowest estimated cost for a request. The
 // cost combines the risk of a late response (from the requests in flight of
 // this instance and the last load report), prefill of shared prompt parts that
@@ -106,8 +34,9 @@
 // prefill. Pure except for random tie-breaking.
 class Placement {
  public:
-  explicit Placement(std::uint64_t seed, PlacementPolicy policy = ByCost())
-      : policy_(policy), random_(seed) {}
+  explicit Placement(std::uint64_t seed, PlacementPolicy policy = ByCost());
+  Placement(const Placement&) = delete;
+  Placement& operator=(const Placement&) = delete;
 
   // Commands.
   // Sets the size of the KV cache of a service's model engines, in tokens.
@@ -134,6 +63,9 @@
   void OnLoad(const BackendEntry& backend,
               const ResponseMetadata::Load& load,
               base::MonoTime now);
+  // A load report could not be read. Returns whether to log it: at most one in
+  // 10 s for each backend server.
+  bool OnMalformedLoad(const BackendEntry& backend, base::MonoTime now);
   // Bytes arrived from the backend server.
   void OnBytesReceived(const base::BackendId& backend, base::MonoTime now);
   // The backend server was removed. Does nothing while it has requests in
@@ -155,81 +87,44 @@
   base::MonoTime LastReceivedAt(const base::BackendId& backend) const;
 
  private:
-  struct State {
-    std::int64_t incarnation = 0;
-    // Hash of the id, for the home of shared prompts.
-    std::uint64_t id_hash = 0;
-    base::ServiceId service;
-    int in_flight = 0;
-    // Uncached prompt tokens sent by this instance whose prefill is not
-    // complete.
-    base::Tokens pending_prefill_tokens = 0;
-    // Requests of other instances, and waiting requests, as of the last load
-    // report.
-    int other_in_flight = 0;
-    int reported_waiting = 0;
-    base::MonoTime load_reported_at{};
-    int sent_since_report = 0;
-    // Share of recent requests that failed, as an exponential moving average.
-    double failure_share = 0;
-    base::MonoTime failure_updated_at{};
-    // Not used before this time unless there is no alternative.
-    base::MonoTime ejected_until{};
-    int consecutive_failures = 0;
-    // Ratio of actual to expected waits; decays to 1.
-    double slowness = 1;
-    base::MonoTime slowness_updated_at{};
-    base::MonoTime last_received_at{};
-    PromptCacheEstimate cached_prompts;
-  };
-
-  // The parts of a prompt that requests share: all except the last.
-  struct SharedPrompt {
-    // Id of the last shared part; empty if nothing is shared.
-    std::string key;
-    base::Tokens tokens = 0;
-    const BackendEntry* home = nullptr;
-  };
-
-  struct Candidate {
-    const BackendEntry* backend;
-    State* state;
-  };
-
-  State& StateOf(const BackendEntry& backend);
+  PlacementState& StateOf(const BackendEntry& backend);
   // Returns nullptr if another start of the backend server has been listed
   // since the entry, of which what is observed says nothing.
-  State* FindState(const BackendEntry& backend);
-  double FailureShare(const State& state, base::MonoTime now) const;
-  double Slowness(const State& state, base::MonoTime now) const;
-  static SharedPrompt FindSharedPrompt(const std::vector<Candidate>& candidates,
-                                       const PlacementRequest& request);
-  double ExpectedWaitMs(const BackendEntry& backend,
-                        const State& state,
-                        const PlacementRequest& request,
-                        base::Tokens uncached,
-                        base::MonoTime now) const;
-  // Returns the prefill cost of the shared parts that are not cached, in bytes
-  // between zones.
-  double PrefillCost(const BackendEntry& backend,
-                     const State& state,
-                     const PlacementRequest& request,
-                     const SharedPrompt& shared) const;
-  // Returns the cost of the delay that prefill causes for requests in flight;
-  // 0 while responses are on time.
-  static double PrefillDelayCost(const State& state,
-                                 base::Tokens uncached,
-                                 double late_risk,
-                                 double objective_ms);
+  PlacementState* FindState(const BackendEntry& backend);
+  // The usable backend servers with their state and, for model engines, the
+  // prompt tokens that need prefill.
+  std::vector<PlacementCandidate> ListCandidates(
+      const std::vector<const BackendEntry*>& usable,
+      base::MonoTime now);
+  SharedPrompt FindSharedPrompt(
+      const std::vector<PlacementCandidate>& candidates,
+      const PlacementRequest& request) const;
+  // Whether the request stays with the home of its shared prompt or a copy,
+  // since the home's expected wait meets the latency objective.
+  bool KeepsHome(const std::vector<PlacementCandidate>& candidates,
+                 const PlacementRequest& request,
+                 const SharedPrompt& shared,
+                 base::MonoTime now) const;
   // Returns the cost of a choice under `policy_`. `drawn` are the two backend
   // servers that TwoChoices compares.
-  double ComputeCost(const PlacementChoice& choice,
-                     const State& state,
+  double ComputeCost(const PlacementCandidate& candidate,
                      const PlacementRequest& request,
                      const SharedPrompt& shared,
                      double wait_ms,
                      const std::array<const BackendEntry*, 2>& drawn,
                      base::MonoTime now);
+  struct Evaluation {
+    const PlacementCandidate* candidate = nullptr;
+    double wait_ms = 0;
+    double cost = 0;
+  };
+  // Returns the cheaper of two random ones among those that cost little more
+  // than `best`.
+  Evaluation DrawAmongBest(const std::vector<Evaluation>& evaluations,
+                           const Evaluation& best);
+  PlacementChoice MakeChoice(const Evaluation& best,
+                             const SharedPrompt& shared,
+                             base::MonoTime now) const;
   // Adds the traffic to a home in another zone, or clears it once the prompt
   // has a copy in this zone.
   void RecordCrossZoneTraffic(const PlacementChoice& choice,
@@ -237,8 +132,11 @@
                               const SharedPrompt& shared);
 
   const PlacementPolicy policy_;
-  std::unordered_map<base::BackendId, State> states_;
+  // Of `policy_`; the default for policies without.
+  const LoadReportUse report_use_;
+  std::unordered_map<base::BackendId, PlacementState> states_;
   std::map<base::ServiceId, base::Tokens> cache_tokens_;
+  std::map<base::ServiceId, scheduling::FleetLoad> fleet_loads_;
   // Bytes exchanged with other zones for each shared prompt.
   std::unordered_map<std::string, double> cross_zone_bytes_;
   std::mt19937_64 random_;
--- a/src/dandelionmill/gateway/request_metadata.h
+++ b/src/dandelionmill/gateway/request_metadata.h
@@ -65,8 +65,14 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    // How long work takes on the machine at this moment, in percent of the
+    // usual time; reported only where machines are shared.
+    std::optional<double> work_time_percent;
   };
   std::optional<Load> load;
+  // The beginning of a load report that cannot be read, for logs; empty
+  // otherwise.
+  std::string malformed_load;
   // Requests per second that the backend server accepts from the whole fleet
   // while it names a limit; not set otherwise.
   std::optional<double> requests_per_s;
--- a/src/dandelionmill/gateway/response_observer.cc
+++ b/src/dandelionmill/gateway/response_observer.cc
@@ -32,6 +32,12 @@
   context.placement.OnBytesReceived(backend.id, now);
   if (metadata.load)
     context.placement.OnLoad(backend, *metadata.load, now);
+  if (!metadata.malformed_load.empty() &&
+      context.placement.OnMalformedLoad(backend, now)) {
+    log::Event event(log::Level::kWarning, "backend_load_malformed");
+    add_fields(event);
+    event.With("server_load", metadata.malformed_load);
+  }
   if (context.request_limits.OnResponse(
           {backend.id, response.process, metadata.requests_per_s},
           response.sent_at, now)) {
--- a/src/dandelionmill/platform/headers.cc
+++ b/src/dandelionmill/platform/headers.cc
@@ -36,6 +36,14 @@
 // that a wrong one does not take the server out of use for good.
 constexpr std::chrono::seconds kMaxPause{60};
 
+// Longer load reports, and reports with a higher count, are malformed. Valid
+// ones have at most a few hundred bytes.
+constexpr std::size_t kMaxLoadReportBytes = 512;
+constexpr int kMaxReportedCount = 1000000;
+
+// Bytes of a malformed load report that are logged.
+constexpr std::size_t kMaxLoggedReportBytes = 64;
+
 // Hop-by-hop fields (RFC 9110, section 7.6.1) and the fields that frame the
 // body.
 constexpr const char* kHopByHopFields[] = {"Connection",
@@ -146,15 +154,30 @@
   return parts;
 }
 
+// Parses running,waiting,slots and an optional fourth figure, the time that
+// work takes in percent of the usual. Further figures are ignored.
 std::optional<gateway::ResponseMetadata::Load> ParseLoad(
     const std::string& text) {
+  constexpr std::size_t kKnownFigures = 3;
+  if (text.size() > kMaxLoadReportBytes)
+    return std::nullopt;
   std::vector<std::string> parts;
   boost::algorithm::split(parts, text, [](char c) { return c == ','; });
   gateway::ResponseMetadata::Load load;
-  if (parts.size() != 3 || !ParseNumber(parts[0], load.running) ||
-      !ParseNumber(parts[1], load.waiting) ||
-      !ParseNumber(parts[2], load.slots))
+  const auto parse_count = [](std::string_view part, int& count) {
+    return ParseNumber(part, count) && count >= 0 && count <= kMaxReportedCount;
+  };
+  if (parts.size() < kKnownFigures || !parse_count(parts[0], load.running) ||
+      !parse_count(parts[1], load.waiting) ||
+      !parse_count(parts[2], load.slots))
     return std::nullopt;
+  if (parts.size() > kKnownFigures) {
+    double percent = 0;
+    if (!ParseNumber(parts[kKnownFigures], percent) ||
+        !std::isfinite(percent) || percent <= 0)
+      return std::nullopt;
+    load.work_time_percent = percent;
+  }
   return load;
 }
 
@@ -264,8 +287,12 @@
                           message.find("Not-Executed") != message.end();
   metadata.is_other_backend = status == kMisdirectedRequest;
   metadata.has_signature = message.find("Server-Signature") != message.end();
-  // "Server-Load" is "running,waiting,slots".
-  metadata.load = ParseLoad(FieldValue(message, "Server-Load"));
+  const std::string load = FieldValue(message, "Server-Load");
+  if (!load.empty()) {
+    metadata.load = ParseLoad(load);
+    if (!metadata.load)
+      metadata.malformed_load = load.substr(0, kMaxLoggedReportBytes);
+  }
   metadata.requests_per_s = ParseRate(FieldValue(message, "Server-Limit"));
   metadata.max_rejections_per_s =
       ParseRate(FieldValue(message, "Server-Brittle"));
--- a/tests/unit/gateway/placement_test.cc
+++ b/tests/unit/gateway/placement_test.cc
@@ -232,6 +232,21 @@
   CHECK(fixture.Choose(10000)->backend->id == BackendId("engine-0"));
 }
 
+// Guards against a log that holds nothing but the malformed reports of one
+// server, which come with every response.
+TEST_CASE("A malformed load report is logged once in ten seconds for a server",
+          "[gateway]") {
+  Fixture fixture(2);
+  const auto log = [&](int server, int ms) {
+    return fixture.placement.OnMalformedLoad(fixture.entries[server], At(ms));
+  };
+  CHECK(log(0, 0));
+  CHECK_FALSE(log(0, 1));
+  CHECK(log(1, 1));
+  CHECK_FALSE(log(0, 9999));
+  CHECK(log(0, 10000));
+}
+
 // Guards against a start of an engine that is avoided for what broke at the one
 // before, and noticed only after the new one was listed.
 TEST_CASE("What an earlier start does late says nothing of the listed one",
--- a/tests/unit/platform/headers_test.cc
+++ b/tests/unit/platform/headers_test.cc
@@ -150,6 +150,46 @@
       CHECK_FALSE(platform::DecodeResponseMetadata(200, message).is_leaving);
     }
   }
+  // Guards against a report that is discarded whole because it has more figures
+  // than are known.
+  SECTION("a load report may have more figures than are known") {
+    message.set("Server-Load", "7,2,24");
+    auto decoded = platform::DecodeResponseMetadata(200, message);
+    REQUIRE(decoded.load);
+    CHECK(decoded.load->running == 7);
+    CHECK(decoded.load->waiting == 2);
+    CHECK(decoded.load->slots == 24);
+    CHECK_FALSE(decoded.load->work_time_percent);
+    for (const char* text :
+         {"7,2,24,130", "7,2,24,130,x", "7,2,24,130,,", "7,2,24,130,5,6"}) {
+      INFO(text);
+      message.set("Server-Load", text);
+      decoded = platform::DecodeResponseMetadata(200, message);
+      REQUIRE(decoded.load);
+      CHECK(decoded.load->running == 7);
+      CHECK(decoded.load->waiting == 2);
+      CHECK(decoded.load->slots == 24);
+      CHECK(decoded.load->work_time_percent == 130.0);
+      CHECK(decoded.malformed_load.empty());
+    }
+  }
+  SECTION("a malformed load report is discarded and kept for the log") {
+    CHECK(
+        platform::DecodeResponseMetadata(200, message).malformed_load.empty());
+    for (const std::string& text :
+         {std::string("7,2"), std::string("7,2,"), std::string("7,2,x"),
+          std::string("-1,2,24"), std::string("7,2,24,"),
+          std::string("7,2,24,nan"), std::string("7,2,24,inf"),
+          std::string("7,2,24,0"), std::string("7,2,24,-5"),
+          std::string("7,99999999999,24"), std::string("7,2000000000,24"),
+          "7,2,24,100," + std::string(600, '1')}) {
+      INFO(text);
+      message.set("Server-Load", text);
+      const auto decoded = platform::DecodeResponseMetadata(200, message);
+      CHECK_FALSE(decoded.load);
+      CHECK(decoded.malformed_load == text.substr(0, 64));
+    }
+  }
   SECTION("a 503 may ask for a pause in decimal seconds") {
     CHECK_FALSE(platform::DecodeResponseMetadata(503, message).pause);
     message.set("Retry-After", "1.5");
