Serve requests with home regions only there

Cause: a route or a client account may name home regions; nothing kept a request, its retries or its relayed connection inside them.

Change: scheduling/home_regions combines the lists of the route and the account and says which availability zones they allow. The exchange reads them from the configuration in force at each attempt, removes the other backend servers before placement (so the preferred server of a shared prompt is one of the allowed), passes the allowed zones to the choice of a relay, and checks both again just before the bytes are sent. Requests that cannot be served are refused before they wait for tokens or for the version of a stream. A configuration that names a region without a zone, or a field of another type, is rejected. Without home regions a request costs one comparison of versions for each attempt.

The session tests of this commit have not been run yet.

--- a/src/dandelionmill/gateway/backend_connector.cc
+++ b/src/dandelionmill/gateway/backend_connector.cc
@@ -142,20 +142,23 @@
 
 void BackendConnector::Connect(const BackendEntry& backend,
                                const base::AttemptId& attempt,
+                               const scheduling::AllowedZones& allowed,
                                Handler handler) {
   if (IsPartitioned(backend.service)) {
-    ConnectThroughAny(backend, attempt, kMaxRelayTries, std::move(handler));
+    ConnectThroughAny(backend, attempt, allowed, kMaxRelayTries,
+                      std::move(handler));
     return;
   }
-  ConnectDirectly(backend, [this, backend, attempt,
-                            handler = std::move(handler)](
-                               ConnectionPool::Result result) mutable {
-    if (std::holds_alternative<ConnectFailure>(result) &&
-        IsPartitioned(backend.service))
-      ConnectThroughAny(backend, attempt, kMaxRelayTries, std::move(handler));
-    else
-      handler(std::move(result));
-  });
+  ConnectDirectly(
+      backend, [this, backend, attempt, allowed, handler = std::move(handler)](
+                   ConnectionPool::Result result) mutable {
+        if (std::holds_alternative<ConnectFailure>(result) &&
+            IsPartitioned(backend.service))
+          ConnectThroughAny(backend, attempt, allowed, kMaxRelayTries,
+                            std::move(handler));
+        else
+          handler(std::move(result));
+      });
 }
 
 void BackendConnector::ConnectDirectly(const BackendEntry& backend,
@@ -254,12 +257,14 @@
     Check(service, nullptr, kRecheckedBackends);
 }
 
-void BackendConnector::ConnectThroughAny(const BackendEntry& backend,
-                                         const base::AttemptId& attempt,
-                                         int tries,
-                                         Handler handler) {
+void BackendConnector::ConnectThroughAny(
+    const BackendEntry& backend,
+    const base::AttemptId& attempt,
+    const scheduling::AllowedZones& allowed,
+    int tries,
+    Handler handler) {
   const auto relay = tries > 0 ? relays_.Choose(backend.service, backend.zone,
-                                                steady_clock::now())
+                                                allowed, steady_clock::now())
                                : std::nullopt;
   if (!relay) {
     const auto avoided =
@@ -271,14 +276,15 @@
         .With("instances", relays_.size())
         .With("unreachable", avoided.unreachable)
         .With("refused", avoided.refused)
-        .With("oldest_ms", avoided.oldest);
+        .With("oldest_ms", avoided.oldest)
+        .With("has_home_regions", !allowed.ContainsAll());
     asio::post(parts_.loop, [handler = std::move(handler)] {
       handler(ConnectFailure::kNotRelayed);
     });
     return;
   }
   ConnectThrough(*relay, backend, attempt,
-                 [this, backend, attempt, tries, instance = relay->id,
+                 [this, backend, attempt, allowed, tries, instance = relay->id,
                   handler = std::move(handler)](RelayResult result) mutable {
                    if (result.status == RelayStatus::kConnected) {
                      handler(std::move(result.connection));
@@ -300,7 +306,7 @@
                      relays_.OnRefused(instance, backend.service, now);
                    if (result.status == RelayStatus::kNoAnswer ||
                        result.status == RelayStatus::kUnavailable)
-                     ConnectThroughAny(backend, attempt, tries - 1,
+                     ConnectThroughAny(backend, attempt, allowed, tries - 1,
                                        std::move(handler));
                    else
                      handler(ToConnectFailure(result.status));
@@ -336,7 +342,9 @@
   if (!parts_.crash_guard.HasBrokenAttempt(backend.id, now) ||
       refusals_in_check_.count(backend.id) != 0)
     return;
-  const auto relay = relays_.Choose(backend.service, backend.zone, now);
+  // The connection is opened and carries nothing, so any instance may do so.
+  const auto relay = relays_.Choose(backend.service, backend.zone,
+                                    scheduling::AllowedZones(), now);
   if (!relay) {
     // Nobody else can tell.
     if (!IsPartitioned(backend.service))
--- a/src/dandelionmill/gateway/backend_connector.h
+++ b/src/dandelionmill/gateway/backend_connector.h
@@ -42,10 +42,11 @@
   // Sets this instance and the others that are running.
   void SetInstances(const base::InstanceId& self,
                     std::vector<peer::Instance> others);
-  // Opens a connection for the request. The handler is called once, never from
-  // within this call.
+  // Opens a connection for the request, through no instance outside the
+  // `allowed` zones. The handler is called once, never from within this call.
   void Connect(const BackendEntry& backend,
                const base::AttemptId& attempt,
+               const scheduling::AllowedZones& allowed,
                Handler handler);
   // The same, over the links of this instance only.
   void ConnectDirectly(const BackendEntry& backend, Handler handler);
@@ -96,6 +97,7 @@
   // Connects through other instances, at most `tries` of them.
   void ConnectThroughAny(const BackendEntry& backend,
                          const base::AttemptId& attempt,
+                         const scheduling::AllowedZones& allowed,
                          int tries,
                          Handler handler);
   void ConnectThrough(const peer::Instance& relay,
--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -76,6 +76,10 @@
     Reserve();
     return;
   }
+  if (const std::optional<Refusal> refusal = RefuseForbiddenZones()) {
+    Refuse(*refusal);
+    return;
+  }
   context_.stream_records.Find(
       request_metadata_.resumed_attempt, service_->id,
       [self = shared_from_this()](const StreamRecords::Result& result) {
@@ -213,6 +217,10 @@
     OnReserved(prepaid::ReserveOutcome::kReserved);
     return;
   }
+  if (const std::optional<Refusal> refusal = RefuseForbiddenZones()) {
+    Refuse(*refusal);
+    return;
+  }
   reservation_waiter_ = context_.token_pool.ReserveLater(
       request_metadata_.attempt, account_->id, tokens,
       std::min(RemainingTime(), kMaxReserveWait),
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -18,6 +18,7 @@
 #include "dandelionmill/gateway/refusal.h"
 #include "dandelionmill/gateway/request_metadata.h"
 #include "dandelionmill/log/event.h"
+#include "dandelionmill/scheduling/home_regions.h"
 
 namespace dandelionmill::gateway {
 
@@ -93,7 +94,24 @@
   // Removes the backend servers that may not run the request, whatever their
   // load. Returns the refusal if that leaves none and the reason is known.
   std::optional<Refusal> RemoveIneligible(
+      std::vector<const BackendEntry*>& backends);
+  // Removes those at which the stream must not begin or go on.
+  std::optional<Refusal> RemoveOtherVersions(
       std::vector<const BackendEntry*>& backends) const;
+  // Removes those outside the home regions of the request.
+  std::optional<Refusal> RemoveForbiddenZones(
+      std::vector<const BackendEntry*>& backends);
+  // Returns the refusal if no backend server is in a zone where the request may
+  // run. Call before the request waits for anything else.
+  std::optional<Refusal> RefuseForbiddenZones();
+  // Returns where the request may run, by the configuration in force. A route
+  // or account that has been removed keeps the home regions it had last.
+  const scheduling::AllowedZones& UpdateAllowedZones();
+  // Returns the client account of the request in a newer configuration.
+  const ClientAccount* FindAccountIn(const FleetConfig& config) const;
+  // Whether the request may still be sent on the connection to the chosen
+  // backend server.
+  bool MayBeSentOn(const BackendConnection& connection);
   // Excludes from `request` those of `backends` that take no request now.
   void ExcludeUnavailable(const std::vector<const BackendEntry*>& backends,
                           PlacementRequest& request,
@@ -230,6 +248,11 @@
   const ClientAccount* account_ = nullptr;
   const Service* service_ = nullptr;
   CrashTraits crash_traits_;
+  // As of the configuration `allowed_version_`.
+  scheduling::HomeRegions route_home_regions_;
+  scheduling::HomeRegions account_home_regions_;
+  scheduling::AllowedZones allowed_zones_;
+  std::optional<base::ConfigVersion> allowed_version_;
 
   base::Tokens reserved_tokens_ = 0;
   base::Tokens used_tokens_ = 0;
--- a/src/dandelionmill/gateway/fleet_config.cc
+++ b/src/dandelionmill/gateway/fleet_config.cc
@@ -30,6 +30,11 @@
       accounts_(std::move(accounts)),
       has_accounts_(has_accounts),
       limits_(limits) {
+  const auto has_home = [](const auto& item) {
+    return item.home_regions != nullptr;
+  };
+  has_home_regions_ = std::any_of(routes_.begin(), routes_.end(), has_home) ||
+                      std::any_of(accounts_.begin(), accounts_.end(), has_home);
   for (Service& service : services) {
     const base::ServiceId id = service.id;
     services_.emplace(id, std::move(service));
@@ -80,6 +85,29 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+base::Status CheckHomeRegions(const FleetConfig& config,
+                              const scheduling::ZoneRegions& zones) {
+  const auto unknown = [](const std::string& owner,
+                          const base::RegionId& region) {
+    return base::Error{base::Code::kBadInventory,
+                       "desired state: " + owner + " has the home region \"" +
+                           region.value() +
+                           "\"; allowed: a region that the platform's "
+                           "settings name for a zone (zones.NAME=REGION)"};
+  };
+  for (const Route& route : config.routes()) {
+    if (const auto* region =
+            scheduling::FindUnknownRegion(route.home_regions, zones))
+      return unknown("route " + route.host + route.path_prefix, *region);
+  }
+  for (const ClientAccount& account : config.accounts()) {
+    if (const auto* region =
+            scheduling::FindUnknownRegion(account.home_regions, zones))
+      return unknown("account " + account.id.value(), *region);
+  }
+  return base::Unit{};
+}
+
 const base::ServiceId& PickService(const Route& route, std::uint64_t random) {
   std::uint64_t total = 0;
   for (const WeightedService& weighted : route.services)
--- a/src/dandelionmill/gateway/fleet_config.h
+++ b/src/dandelionmill/gateway/fleet_config.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "dandelionmill/base/ids.h"
+#include "dandelionmill/base/result.h"
 #include "dandelionmill/base/units.h"
+#include "dandelionmill/scheduling/home_regions.h"
 
 namespace dandelionmill::gateway {
 
@@ -65,6 +67,7 @@
   int priority = 5;
   // Needs no API key.
   bool is_public = false;
+  scheduling::HomeRegions home_regions;
 };
 
 // Properties of the model engines of a service.
@@ -91,6 +94,7 @@
   std::optional<int> priority;
   // Total model tokens that the account may use; unlimited when not set.
   std::optional<base::Tokens> prepaid;
+  scheduling::HomeRegions home_regions;
 };
 
 // Limits for callers' connections and requests.
@@ -120,6 +124,8 @@
   }
   // Whether requests to routes that are not public need an API key.
   bool has_accounts() const { return has_accounts_; }
+  // Whether any route or account has home regions.
+  bool has_home_regions() const { return has_home_regions_; }
 
   // Returns the route of `host` with the longest prefix of `path`, or nullptr.
   // `path` may include a query.
@@ -137,6 +143,7 @@
   std::map<base::ServiceId, Service> services_;
   std::vector<ClientAccount> accounts_;
   bool has_accounts_;
+  bool has_home_regions_;
   CallerLimits limits_;
   // Indexes into routes_ by host, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
@@ -146,6 +153,11 @@
 
 using FleetConfigPtr = std::shared_ptr<const FleetConfig>;
 
+// Fails with kBadInventory if a route or account has a home region to which no
+// zone of `zones` belongs.
+base::Status CheckHomeRegions(const FleetConfig& config,
+                              const scheduling::ZoneRegions& zones);
+
 // Returns the service for a request according to the weights of the route.
 // `random` must be uniformly distributed over requests. `route` must have at
 // least one service.
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -64,6 +64,7 @@
                token_pool_,
                store_,
                settings.zone,
+               settings.regions,
                RetryLimits(settings),
                settings.link_bits_per_s,
                options.placement),
@@ -258,10 +259,14 @@
   if (row.deleted || row.key.key != platform::kDesiredStateKey)
     return;
   const auto decoded = platform::DecodeDesiredState(row.value);
-  if (!base::IsOk(decoded)) {
+  const base::Status status =
+      base::IsOk(decoded)
+          ? CheckHomeRegions(*base::ValueOf(decoded), context_.zone_regions)
+          : base::ErrorOf(decoded);
+  if (!base::IsOk(status)) {
     log::Event(log::Level::kError, "config_rejected")
         .With("row_version", row.version)
-        .With(base::ErrorOf(decoded));
+        .With(base::ErrorOf(status));
     context_.config_confirmation.OnRejected();
     return;
   }
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -26,6 +26,7 @@
 #include "dandelionmill/gateway/stream_versions.h"
 #include "dandelionmill/gateway/version_records.h"
 #include "dandelionmill/prepaid/token_pool.h"
+#include "dandelionmill/scheduling/home_regions.h"
 
 namespace dandelionmill::gateway {
 
@@ -36,12 +37,14 @@
                  prepaid::TokenPool& prepaid_token_pool,
                  storage::AsyncTable& table,
                  base::ZoneId own_zone,
+                 scheduling::ZoneRegions regions,
                  RetryAllowance::Limits limits,
                  double link_bits_per_s,
                  PlacementPolicy policy)
       : loop(event_loop),
         token_pool(prepaid_token_pool),
         zone(std::move(own_zone)),
+        zone_regions(std::move(regions)),
         retry_limits(limits),
         overload(link_bits_per_s),
         pool(event_loop),
@@ -82,6 +85,7 @@
   boost::asio::io_context& loop;
   prepaid::TokenPool& token_pool;
   const base::ZoneId zone;
+  const scheduling::ZoneRegions zone_regions;
   const RetryAllowance::Limits retry_limits;
   OverloadDetector overload;
   // nullptr until the first configuration has been read.
--- a/src/dandelionmill/gateway/internal/exchange_connect.cc
+++ b/src/dandelionmill/gateway/internal/exchange_connect.cc
@@ -36,7 +36,7 @@
   }
   ArmTimer();
   context_.connector.Connect(
-      *backend_, request_metadata_.attempt,
+      *backend_, request_metadata_.attempt, UpdateAllowedZones(),
       [self = shared_from_this()](ConnectionPool::Result result) {
         self->OnConnected(std::move(result));
       });
@@ -200,6 +200,16 @@
     OnCallerDisconnected();
     return;
   }
+  if (!MayBeSentOn(*connection)) {
+    // Another relay may reach the same backend server.
+    if (connection->relay)
+      tried_backends_.erase(backend_->id);
+    context_.pool.PutIdle(*backend_, std::move(connection),
+                          steady_clock::now());
+    EndAttempt(AttemptEnd::kAbandoned);
+    StartAttempt();
+    return;
+  }
   context_.metrics.OnAttempt(attempt_count_ == 0 ? "first" : "again");
   ++attempt_count_;
   is_sent_ = true;
--- a/src/dandelionmill/gateway/internal/exchange_placement.cc
+++ b/src/dandelionmill/gateway/internal/exchange_placement.cc
@@ -79,6 +79,13 @@
 }
 
 std::optional<Refusal> Exchange::RemoveIneligible(
+    std::vector<const BackendEntry*>& backends) {
+  if (const std::optional<Refusal> refusal = RemoveOtherVersions(backends))
+    return refusal;
+  return RemoveForbiddenZones(backends);
+}
+
+std::optional<Refusal> Exchange::RemoveOtherVersions(
     std::vector<const BackendEntry*>& backends) const {
   if (route_->kind != RequestKind::kResumableStream)
     return std::nullopt;
--- a/src/dandelionmill/gateway/refusal.h
+++ b/src/dandelionmill/gateway/refusal.h
@@ -44,6 +44,10 @@
 // The retry reaches another instance or backend server, so it need not wait.
 inline constexpr std::chrono::milliseconds kRetryAtOnce{20};
 
+// Only the operator can change what excludes the request: the home regions or
+// an evacuation.
+inline constexpr std::chrono::milliseconds kRetryAfterOperator{2000};
+
 // Returns the complete HTTP response, with a problem document as its body and
 // "Connection: close" if `close`.
 std::string ToHttpResponse(const Refusal& refusal,
--- a/src/dandelionmill/gateway/relay_selector.cc
+++ b/src/dandelionmill/gateway/relay_selector.cc
@@ -70,12 +70,14 @@
 std::optional<peer::Instance> RelaySelector::Choose(
     const base::ServiceId& service,
     const base::ZoneId& backend_zone,
+    const scheduling::AllowedZones& allowed,
     base::MonoTime now) {
   const Failures& refused = refused_[service];
   std::vector<const peer::Instance*> best;
   for (const peer::Instance& instance : others_) {
     if (FailureAge(unreachable_, instance.id, now) ||
-        FailureAge(refused, instance.id, now))
+        FailureAge(refused, instance.id, now) ||
+        !allowed.Contains(instance.zone))
       continue;
     if (!best.empty()) {
       const int difference =
--- a/src/dandelionmill/gateway/relay_selector.h
+++ b/src/dandelionmill/gateway/relay_selector.h
@@ -12,6 +12,7 @@
 #include "dandelionmill/base/ids.h"
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/peer/owner_ranking.h"
+#include "dandelionmill/scheduling/home_regions.h"
 
 namespace dandelionmill::gateway {
 
@@ -50,10 +51,13 @@
   // Number of the other instances.
   std::size_t size() const { return others_.size(); }
   Avoided AvoidedFor(const base::ServiceId& service, base::MonoTime now) const;
-  // Returns an instance through which to connect to a backend server of the
-  // service in `backend_zone`; nothing if none may be chosen now.
+  // Returns an instance in one of the `allowed` zones through which to connect
+  // to a backend server of the service in `backend_zone`; nothing if none may
+  // be chosen now. An instance that reports no zone is in no allowed zone
+  // unless all are allowed.
   std::optional<peer::Instance> Choose(const base::ServiceId& service,
                                        const base::ZoneId& backend_zone,
+                                       const scheduling::AllowedZones& allowed,
                                        base::MonoTime now);
 
  private:
--- a/src/dandelionmill/platform/desired_state.cc
+++ b/src/dandelionmill/platform/desired_state.cc
@@ -1,6 +1,9 @@
 #include "dandelionmill/platform/desired_state.h"
 
+#include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <type_traits>
 #include <utility>
 
 namespace dandelionmill::platform {
@@ -44,6 +47,37 @@
           object, name, static_cast<double>(default_value.count()))));
 }
 
+// Reads lists of home regions. Equal lists share one object, since a
+// configuration may have hundreds of thousands of accounts.
+class HomeRegionsReader {
+ public:
+  scheduling::HomeRegions Read(const json& object, const std::string& owner) {
+    const auto field = object.find("homeRegions");
+    if (field == object.end() || field->is_null())
+      return nullptr;
+    const auto is_name = [](const json& item) { return item.is_string(); };
+    if (!field->is_array() ||
+        !std::all_of(field->begin(), field->end(), is_name)) {
+      throw DecodeError{"field \"homeRegions\" of " + owner + " is " +
+                        field->dump().substr(0, kMaxQuotedBytes) +
+                        "; allowed: a list of region names"};
+    }
+    std::vector<base::RegionId> regions;
+    for (const json& name : *field)
+      regions.emplace_back(name.get<std::string>());
+    auto [known, is_new] = known_.try_emplace(regions);
+    if (is_new)
+      known->second = scheduling::MakeHomeRegions(std::move(regions));
+    return known->second;
+  }
+
+ private:
+  // Longest part of a wrong value in an error message.
+  static constexpr std::size_t kMaxQuotedBytes = 80;
+
+  std::map<std::vector<base::RegionId>, scheduling::HomeRegions> known_;
+};
+
 gateway::RequestKind ReadRequestKind(const json& route) {
   const auto kind = ReadField<std::string>(route, "kind");
   if (kind == "safe")
@@ -72,7 +106,7 @@
   return services;
 }
 
-gateway::Route ReadRoute(const json& object) {
+gateway::Route ReadRoute(const json& object, HomeRegionsReader& home_regions) {
   gateway::Route route;
   route.name = ReadFieldOr<std::string>(object, "name", "");
   route.host = ReadField<std::string>(object, "host");
@@ -90,6 +124,8 @@
   route.max_attempts = std::max(1, ReadFieldOr<int>(object, "attempts", 1));
   route.priority = ReadFieldOr<int>(object, "priority", 5);
   route.is_public = ReadFieldOr<bool>(object, "public", false);
+  route.home_regions =
+      home_regions.Read(object, "route " + route.host + route.path_prefix);
   return route;
 }
 
@@ -112,7 +148,8 @@
   return service;
 }
 
-gateway::ClientAccount ReadAccount(const json& object) {
+gateway::ClientAccount ReadAccount(const json& object,
+                                   HomeRegionsReader& home_regions) {
   gateway::ClientAccount account;
   account.id = base::AccountId(ReadField<std::string>(object, "name"));
   account.api_keys =
@@ -122,6 +159,8 @@
   if (object.contains("prepaid") && object["prepaid"].is_number())
     account.prepaid =
         static_cast<base::Tokens>(ReadField<double>(object, "prepaid"));
+  account.home_regions =
+      home_regions.Read(object, "account " + account.id.value());
   return account;
 }
 
@@ -141,11 +180,10 @@
   return limits;
 }
 
-template <class T>
-std::vector<T> ReadList(const json& state,
-                        const char* name,
-                        T (*read)(const json&)) {
-  std::vector<T> list;
+// `read` converts one item.
+template <class Reader>
+auto ReadList(const json& state, const char* name, const Reader& read) {
+  std::vector<std::invoke_result_t<Reader, const json&>> list;
   if (!state.contains(name))
     return list;
   if (!state[name].is_array())
@@ -164,12 +202,19 @@
     return base::Error{base::Code::kBadInventory,
                        "the desired state is not a JSON object"};
   }
+  HomeRegionsReader home_regions;
+  const auto read_route = [&](const json& object) {
+    return ReadRoute(object, home_regions);
+  };
+  const auto read_account = [&](const json& object) {
+    return ReadAccount(object, home_regions);
+  };
   try {
     return gateway::FleetConfigPtr(std::make_shared<gateway::FleetConfig>(
         ReadField<base::ConfigVersion>(state, "version"),
-        ReadList(state, "routes", ReadRoute),
+        ReadList(state, "routes", read_route),
         ReadList(state, "services", ReadService),
-        ReadList(state, "tenants", ReadAccount), state.contains("tenants"),
+        ReadList(state, "tenants", read_account), state.contains("tenants"),
         ReadLimits(state)));
   } catch (const DecodeError& error) {
     return base::Error{base::Code::kBadInventory,
--- a/tests/sessions/gateway/gateway_fixture.cc
+++ b/tests/sessions/gateway/gateway_fixture.cc
@@ -28,7 +28,9 @@
   dandelionmill::platform::NodeSettings settings;
   settings.instance = base::InstanceId(instance);
   settings.zone = base::ZoneId("north");
-  settings.region = base::RegionId("north");
+  settings.region = base::RegionId("home");
+  settings.regions = {{base::ZoneId("north"), base::RegionId("home")},
+                      {base::ZoneId("south"), base::RegionId("abroad")}};
   settings.frontend_address = {"127.0.0.1", first_port};
   settings.readiness = {"127.0.0.1", first_port + 1};
   settings.peer_address = {"127.0.0.1", first_port + 2};
@@ -40,11 +42,12 @@
                     const std::string& id,
                     int port,
                     const std::string& version,
-                    const std::string& service) {
+                    const std::string& service,
+                    const std::string& zone) {
   store.Put("servers", id,
             {{"service", service},
              {"address", "127.0.0.1:" + std::to_string(port)},
-             {"zone", "north"},
+             {"zone", zone},
              {"version", version},
              {"slots", 8},
              {"state", "ready"},
@@ -118,11 +121,12 @@
 
 ScriptedEngine& GatewayFixture::AddEngine(const std::string& id,
                                           ScriptedEngine::Script script,
-                                          const std::string& version) {
+                                          const std::string& version,
+                                          const std::string& zone) {
   const int port = next_port_++;
   engine_ports_[id] = port;
   engines[id] = std::make_unique<ScriptedEngine>(port, std::move(script));
-  RegisterEngine(store, id, port, version);
+  RegisterEngine(store, id, port, version, "model", zone);
   std::this_thread::sleep_for(milliseconds(150));
   return *engines[id];
 }
--- a/tests/sessions/gateway/gateway_fixture.h
+++ b/tests/sessions/gateway/gateway_fixture.h
@@ -102,7 +102,8 @@
                     const std::string& id,
                     int port,
                     const std::string& version = "v1",
-                    const std::string& service = "model");
+                    const std::string& service = "model",
+                    const std::string& zone = "north");
 
 // A gateway process in a thread, with a stand-in store and engines.
 class GatewayFixture {
@@ -125,7 +126,8 @@
   // Registers an engine that answers as the script says.
   ScriptedEngine& AddEngine(const std::string& id,
                             ScriptedEngine::Script s,
-                            const std::string& version = "v1");
+                            const std::string& version = "v1",
+                            const std::string& zone = "north");
   // Replaces the engine by another process at its address, which reports
   // `born`. Its entry stays as it is.
   void RestartEngine(const std::string& id,
--- a/tests/unit/gateway/fleet_config_test.cc
+++ b/tests/unit/gateway/fleet_config_test.cc
@@ -4,7 +4,11 @@
 
 using namespace dandelionmill::gateway;  // NOLINT(google-build-using-namespace)
 using dandelionmill::base::AccountId;
+using dandelionmill::base::ErrorOf;
+using dandelionmill::base::IsOk;
+using dandelionmill::base::RegionId;
 using dandelionmill::base::ServiceId;
+using dandelionmill::base::ZoneId;
 
 namespace {
 
@@ -78,3 +82,23 @@
   CHECK_FALSE(IsRetryable(RequestKind::kNonIdempotent));
   CHECK_FALSE(IsRetryable(RequestKind::kStream));
 }
+
+// Guards against a configuration in force that names a region without zones, in
+// which nothing can be served.
+TEST_CASE("A home region that no zone belongs to is an error that names it",
+          "[gateway]") {
+  const dandelionmill::scheduling::ZoneRegions zones = {
+      {ZoneId("e1"), RegionId("east")}};
+  CHECK(IsOk(CheckHomeRegions(Example(), zones)));
+  CHECK_FALSE(Example().has_home_regions());
+  ClientAccount account;
+  account.id = AccountId("painters");
+  account.home_regions =
+      dandelionmill::scheduling::MakeHomeRegions({RegionId("wset")});
+  const FleetConfig config(1, {}, {}, {account}, true, {});
+  CHECK(config.has_home_regions());
+  const auto status = CheckHomeRegions(config, zones);
+  REQUIRE_FALSE(IsOk(status));
+  CHECK_THAT(ErrorOf(status).detail,
+             Catch::Contains("account painters") && Catch::Contains("wset"));
+}
--- a/tests/unit/gateway/relay_selector_test.cc
+++ b/tests/unit/gateway/relay_selector_test.cc
@@ -9,6 +9,7 @@
 namespace base = dandelionmill::base;
 using dandelionmill::gateway::RelaySelector;
 using dandelionmill::peer::Instance;
+using dandelionmill::scheduling::AllowedZones;
 
 const base::ZoneId kOwnZone("north");
 const base::ZoneId kBackendZone("south");
@@ -28,7 +29,8 @@
     const base::ServiceId& service = kService) {
   std::map<std::string, int> counts;
   for (int i = 0; i < 300; ++i) {
-    const auto chosen = selector.Choose(service, kBackendZone, now);
+    const auto chosen =
+        selector.Choose(service, kBackendZone, AllowedZones(), now);
     ++counts[chosen ? chosen->id.value() : "none"];
   }
   return counts;
@@ -41,7 +43,7 @@
 TEST_CASE("Relayed connections are spread over the nearest able instances",
           "[gateway][partition]") {
   RelaySelector selector(kOwnZone, 1);
-  CHECK_FALSE(selector.Choose(kService, kBackendZone, kNow));
+  CHECK_FALSE(selector.Choose(kService, kBackendZone, AllowedZones(), kNow));
   selector.SetInstances({InZone("own-1", "north"), InZone("own-2", "north"),
                          InZone("far", "east"), InZone("by-backend", "south")});
   std::map<std::string, int> counts = CountChoices(selector, kNow);
@@ -92,3 +94,26 @@
     CHECK(selector.AvoidedFor(kService, kNow).unreachable == 1);
   }
 }
+
+// Guards against a body that is sent to an instance outside the home regions of
+// its request.
+TEST_CASE("No instance outside the allowed zones is chosen to relay",
+          "[gateway][partition]") {
+  const dandelionmill::scheduling::ZoneRegions regions = {
+      {base::ZoneId("north"), base::RegionId("abroad")},
+      {base::ZoneId("east"), base::RegionId("home")}};
+  const auto home =
+      dandelionmill::scheduling::MakeHomeRegions({base::RegionId("home")});
+  const AllowedZones allowed(
+      dandelionmill::scheduling::CombineHomeRegions(home, nullptr), regions);
+  RelaySelector selector(kOwnZone, 1);
+  selector.SetInstances({InZone("near", "north"), InZone("unlisted", "south"),
+                         InZone("unreported", "")});
+  CHECK_FALSE(selector.Choose(kService, kBackendZone, allowed, kNow));
+  selector.SetInstances({InZone("near", "north"), InZone("far", "east")});
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = selector.Choose(kService, kBackendZone, allowed, kNow);
+    REQUIRE(chosen);
+    CHECK(chosen->id == base::InstanceId("far"));
+  }
+}
--- a/tests/unit/platform/desired_state_test.cc
+++ b/tests/unit/platform/desired_state_test.cc
@@ -82,3 +82,37 @@
   CHECK_THAT(error_detail(R"({"version":1,"services":[{"name":3}]})"),
              Catch::Contains("name"));
 }
+
+// Guards against home regions that are lost or invented by the decoder.
+TEST_CASE("Home regions of routes and accounts are decoded", "[platform]") {
+  const auto decoded = DecodeDesiredState(R"({"version":1,"routes":[
+    {"host":"h","prefix":"/a/","kind":"safe","service":"m",
+     "homeRegions":["west","east"]},
+    {"host":"h","prefix":"/b/","kind":"safe","service":"m",
+     "homeRegions":null}],
+    "tenants":[{"name":"t","homeRegions":["east","west"]},
+               {"name":"u","homeRegions":[]},{"name":"v"}]})");
+  REQUIRE(base::IsOk(decoded));
+  const gateway::FleetConfig& config = *base::ValueOf(decoded);
+  CHECK(config.has_home_regions());
+  REQUIRE(config.routes()[0].home_regions);
+  CHECK(config.routes()[0].home_regions->size() == 2);
+  CHECK(config.routes()[1].home_regions == nullptr);
+  REQUIRE(config.accounts()[0].home_regions);
+  CHECK(*config.accounts()[0].home_regions == *config.routes()[0].home_regions);
+  CHECK(config.accounts()[1].home_regions == nullptr);
+  CHECK(config.accounts()[2].home_regions == nullptr);
+}
+
+// Guards against a constraint that is ignored since its field is misspelt.
+TEST_CASE("Home regions of another type are rejected with their owner",
+          "[platform]") {
+  for (const char* wrong : {R"("east")", "3", R"(["east",3])", "{}", "true"}) {
+    const auto decoded = DecodeDesiredState(
+        std::string(R"({"version":1,"tenants":[{"name":"t","homeRegions":)") +
+        wrong + "}]}");
+    REQUIRE_FALSE(base::IsOk(decoded));
+    CHECK_THAT(base::ErrorOf(decoded).detail,
+               Catch::Contains("homeRegions") && Catch::Contains("account t"));
+  }
+}
