Evacuate an availability zone by a row in the store

Cause: an operator had no way to keep new requests from the backend servers of a zone other than to drain each of them.

Change: a row op/evacuate/ZONE excludes the backend servers of the zone from placement, from relaying, and, for a connection that came late, from being sent to. The row counts as present for 5 s if a restored store lacks it; that time does not run out while the store is unreachable. Rows for unknown zones or with another value than an object are logged and ignored. Without evacuations a request costs an empty check.

--- a/src/dandelionmill/ctl/commands/gateway.cc
+++ b/src/dandelionmill/ctl/commands/gateway.cc
@@ -86,6 +86,8 @@
        {"process", "zone", "ready", "leaving", "overloaded", "config_version",
         "instances", "open_requests", "caller_connections"})
     environment.out << key << ": " << dump.value(key, json()).dump() << "\n";
+  for (const json& evacuation : dump.value("evacuations", json::array()))
+    environment.out << "evacuation: " << evacuation.dump() << "\n";
   environment.out << "backend servers: "
                   << dump.value("backends", json::array()).size() << "\n";
   for (const json& backend : dump.value("backends", json::array()))
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -98,9 +98,12 @@
   // Removes those at which the stream must not begin or go on.
   std::optional<Refusal> RemoveOtherVersions(
       std::vector<const BackendEntry*>& backends) const;
-  // Removes those outside the home regions of the request.
+  // Removes those outside the home regions of the request and those in
+  // evacuated zones.
   std::optional<Refusal> RemoveForbiddenZones(
       std::vector<const BackendEntry*>& backends);
+  std::optional<Refusal> RemoveOutsideHomeRegions(
+      std::vector<const BackendEntry*>& backends);
   // Returns the refusal if no backend server is in a zone where the request may
   // run. Call before the request waits for anything else.
   std::optional<Refusal> RefuseForbiddenZones();
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dandelionmill/base/digest.h"
+#include "dandelionmill/base/overloaded.h"
 #include "dandelionmill/log/event.h"
 #include "dandelionmill/platform/desired_state.h"
 #include "dandelionmill/platform/engine_entry.h"
@@ -28,6 +29,11 @@
 // was restored.
 constexpr milliseconds kFleetSettleInterval{500};
 
+// Longest time in which a change of the store is read if the connection to it
+// has failed silently: a long poll, the time limit of its answer, and the
+// retry.
+constexpr milliseconds kMaxStoreDelay{2500};
+
 // Time after the start of a shutdown until the balancer sends no new
 // connections: two readiness checks one second apart, and one in flight.
 constexpr milliseconds kBalancerRemovalTime{2600};
@@ -86,30 +92,30 @@
                        context_.request_limits,
                        store_,
                        process_id_),
-      config_follower_(loop,
-                       store_,
-                       platform::kDesiredStateTable,
-                       {[this](const auto& row) { OnConfigRow(row); },
-                        [this](const auto& rows) {
-                          for (const auto& row : rows)
-                            OnConfigRow(row);
-                        },
-                        [this](const TableFollower::Status& status) {
-                          LogStoreStatus("config", status);
-                        },
-                        [this](const TableFollower::CatchUp& catch_up) {
-                          if (!catch_up.is_complete)
-                            context_.config_confirmation.OnBehind();
-                          LogCatchUp("config", catch_up);
-                        },
-                        [this](base::BootTime as_of) {
-                          context_.config_confirmation.OnConfirmed(as_of);
-                        },
-                        [this](const TableFollower::Restore&) {
-                          context_.config_confirmation.OnStoreRestored(
-                              base::BootClock::now());
-                          token_pool_.CheckStore();
-                        }}),
+      config_follower_(
+          loop,
+          store_,
+          platform::kDesiredStateTable,
+          {[this](const auto& row) { OnConfigRow(row); },
+           [this](const auto& rows) { OnConfigRows(rows); },
+           [this](const TableFollower::Status& status) {
+             LogStoreStatus("config", status);
+           },
+           [this](const TableFollower::CatchUp& catch_up) {
+             if (!catch_up.is_complete)
+               context_.config_confirmation.OnBehind();
+             LogCatchUp("config", catch_up);
+           },
+           [this](base::BootTime as_of) {
+             context_.config_confirmation.OnConfirmed(as_of);
+             OnEvacuationChanges(context_.evacuations.OnCurrent(as_of));
+           },
+           [this](const TableFollower::Restore&) {
+             context_.config_confirmation.OnStoreRestored(
+                 base::BootClock::now());
+             context_.evacuations.OnStoreRestored();
+             token_pool_.CheckStore();
+           }}),
       backend_follower_(
           loop,
           store_,
@@ -210,6 +216,11 @@
       .With("zone", settings_.zone)
       .With("callers", net::ToString(settings_.frontend_address))
       .With("store", net::ToString(settings_.store));
+  if (settings_.evacuation_bound < kMaxStoreDelay) {
+    log::Event(log::Level::kWarning, "evacuation_bound_short")
+        .With("evacuation_ms", settings_.evacuation_bound)
+        .With("store_delay_ms", kMaxStoreDelay);
+  }
   Accept();
   config_follower_.Start();
   backend_follower_.Start();
@@ -255,7 +266,49 @@
   });
 }
 
+void Gateway::OnConfigRows(const std::vector<storage::VersionedRow>& rows) {
+  std::vector<scheduling::EvacuationRow> evacuations;
+  for (const storage::VersionedRow& row : rows) {
+    if (auto evacuation = platform::DecodeEvacuationRow(row))
+      evacuations.push_back(std::move(*evacuation));
+    else
+      OnConfigRow(row);
+  }
+  OnEvacuationChanges(
+      context_.evacuations.OnRows(evacuations, base::BootClock::now()));
+}
+
+void Gateway::OnEvacuationChanges(
+    const scheduling::EvacuationChanges& changes) {
+  for (const scheduling::EvacuationChange& change : changes) {
+    std::visit(base::Overloaded{
+                   [](const scheduling::EvacuationBegun& begun) {
+                     log::Event(log::Level::kWarning, "evacuation_begun")
+                         .With("zone", begun.zone)
+                         .With("row_version", begun.row_version);
+                   },
+                   [](const scheduling::EvacuationEnded& ended) {
+                     log::Event(log::Level::kWarning, "evacuation_ended")
+                         .With("zone", ended.zone)
+                         .With("row_version", ended.row_version);
+                   },
+                   [](const scheduling::EvacuationIgnored& ignored) {
+                     log::Event(log::Level::kWarning, "evacuation_ignored")
+                         .With("zone", ignored.zone)
+                         .With("row_version", ignored.row_version)
+                         .With("reason", ignored.reason);
+                   }},
+               change);
+  }
+  if (!changes.empty())
+    context_.metrics.OnEvacuatedZones(context_.evacuations.zones().size());
+}
+
 void Gateway::OnConfigRow(const storage::VersionedRow& row) {
+  if (const auto evacuation = platform::DecodeEvacuationRow(row)) {
+    OnEvacuationChanges(context_.evacuations.OnRow(*evacuation));
+    return;
+  }
   if (row.deleted || row.key.key != platform::kDesiredStateKey)
     return;
   const auto decoded = platform::DecodeDesiredState(row.value);
@@ -593,8 +646,16 @@
       {"instances", context_.instance_count},
       {"open_requests", context_.open_exchange_count},
       {"caller_connections", sessions_.size()},
+      {"evacuations", nlohmann::json::array()},
       {"backends", nlohmann::json::array()},
       {"prepaid", nlohmann::json::object()}};
+  for (const auto& [zone, evacuation] : context_.evacuations.zones()) {
+    dump["evacuations"].push_back(
+        {{"zone", zone.value()},
+         {"row_version", evacuation.row_version},
+         {"row_missing", evacuation.ends_at.has_value()},
+         {"in_flight", context_.placement.InFlightIn(zone)}});
+  }
   if (context_.config) {
     for (const auto& [id, service] : context_.config->services()) {
       for (const BackendEntry* backend :
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -57,6 +57,8 @@
  private:
   void Accept();
   void OnConfigRow(const storage::VersionedRow& row);
+  void OnConfigRows(const std::vector<storage::VersionedRow>& rows);
+  void OnEvacuationChanges(const scheduling::EvacuationChanges& changes);
   void OnBackendRow(const storage::VersionedRow& row);
   void OnBackendRows(const std::vector<storage::VersionedRow>& rows);
   void LogCatchUp(const char* table, const TableFollower::CatchUp& catch_up);
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <random>
+#include <set>
 
 #include "dandelionmill/gateway/backend_backoff.h"
 #include "dandelionmill/gateway/backend_connector.h"
@@ -26,6 +27,7 @@
 #include "dandelionmill/gateway/stream_versions.h"
 #include "dandelionmill/gateway/version_records.h"
 #include "dandelionmill/prepaid/token_pool.h"
+#include "dandelionmill/scheduling/evacuations.h"
 #include "dandelionmill/scheduling/home_regions.h"
 
 namespace dandelionmill::gateway {
@@ -45,6 +47,7 @@
         token_pool(prepaid_token_pool),
         zone(std::move(own_zone)),
         zone_regions(std::move(regions)),
+        evacuations(KnownZones()),
         retry_limits(limits),
         overload(link_bits_per_s),
         pool(event_loop),
@@ -77,6 +80,14 @@
   // instance with room. Random.
   bool ShouldRejectRequest() { return IsDrawn(overload.RejectShare()); }
 
+  // Returns the availability zones of the platform's settings.
+  std::set<base::ZoneId> KnownZones() const {
+    std::set<base::ZoneId> known = {zone};
+    for (const auto& [listed, region] : zone_regions)
+      known.insert(listed);
+    return known;
+  }
+
   // Returns true with the probability `share`.
   bool IsDrawn(double share) {
     return share > 0 && std::bernoulli_distribution(share)(random);
@@ -86,6 +97,7 @@
   prepaid::TokenPool& token_pool;
   const base::ZoneId zone;
   const scheduling::ZoneRegions zone_regions;
+  scheduling::Evacuations evacuations;
   const RetryAllowance::Limits retry_limits;
   OverloadDetector overload;
   // nullptr until the first configuration has been read.
--- a/src/dandelionmill/gateway/gateway_metrics.cc
+++ b/src/dandelionmill/gateway/gateway_metrics.cc
@@ -78,6 +78,14 @@
       .Set(version);
 }
 
+void GatewayMetrics::OnEvacuatedZones(std::size_t count) {
+  registry_
+      .GetGauge("dandelion_evacuated_zones",
+                "Availability zones whose backend servers receive no new "
+                "requests, by order of the operator.")
+      .Set(static_cast<std::int64_t>(count));
+}
+
 void GatewayMetrics::OnTick(int open_exchanges,
                             std::size_t backends,
                             std::size_t idle_connections,
--- a/src/dandelionmill/gateway/gateway_metrics.h
+++ b/src/dandelionmill/gateway/gateway_metrics.h
@@ -24,6 +24,8 @@
   // A request was sent to a backend server. `reason` is "first" or "again".
   void OnAttempt(const char* reason);
   void OnConfigVersion(std::int64_t version);
+  // Sets the gauge of evacuated availability zones.
+  void OnEvacuatedZones(std::size_t count);
   // Sets the gauges. `config_age` and `registry_age` are the times since the
   // store last answered about the configuration and the registry.
   void OnTick(int open_exchanges,
--- a/src/dandelionmill/gateway/internal/exchange_zones.cc
+++ b/src/dandelionmill/gateway/internal/exchange_zones.cc
@@ -40,6 +40,28 @@
 
 std::optional<Refusal> Exchange::RemoveForbiddenZones(
     std::vector<const BackendEntry*>& backends) {
+  if (std::optional<Refusal> refusal = RemoveOutsideHomeRegions(backends))
+    return refusal;
+  const scheduling::Evacuations& evacuations = context_.evacuations;
+  if (evacuations.empty() || backends.empty())
+    return std::nullopt;
+  backends.erase(std::remove_if(backends.begin(), backends.end(),
+                                [&evacuations](const BackendEntry* backend) {
+                                  return evacuations.Includes(backend->zone);
+                                }),
+                 backends.end());
+  if (!backends.empty())
+    return std::nullopt;
+  const char* const detail =
+      "the availability zones of all backend servers that may run the request "
+      "are evacuated";
+  return may_have_run_ ? FailMaybeRun(base::Code::kBackendFailed, 502, detail)
+                       : RefuseNotRun(base::Code::kNoBackend, detail,
+                                      kRetryAfterOperator);
+}
+
+std::optional<Refusal> Exchange::RemoveOutsideHomeRegions(
+    std::vector<const BackendEntry*>& backends) {
   const scheduling::AllowedZones& allowed = UpdateAllowedZones();
   if (allowed.ContainsAll())
     return std::nullopt;
@@ -76,7 +98,7 @@
 }
 
 std::optional<Refusal> Exchange::RefuseForbiddenZones() {
-  if (UpdateAllowedZones().ContainsAll())
+  if (UpdateAllowedZones().ContainsAll() && context_.evacuations.empty())
     return std::nullopt;
   auto usable =
       context_.directory.Usable(service_->id, std::chrono::steady_clock::now());
@@ -84,6 +106,8 @@
 }
 
 bool Exchange::MayBeSentOn(const BackendConnection& connection) {
+  if (context_.evacuations.Includes(backend_->zone))
+    return false;
   const scheduling::AllowedZones& allowed = UpdateAllowedZones();
   return allowed.ContainsAll() ||
          (allowed.Contains(backend_->zone) &&
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -138,6 +138,7 @@
   }
   if (state.service.empty()) {
     state.service = backend.service;
+    state.zone = backend.zone;
     state.incarnation = backend.incarnation;
     state.id_hash = base::StableHash(backend.id.value());
     const auto cache = cache_tokens_.find(backend.service);
@@ -295,6 +296,15 @@
   return in_flight;
 }
 
+int Placement::InFlightIn(const base::ZoneId& zone) const {
+  int in_flight = 0;
+  for (const auto& [id, state] : states_) {
+    if (state.zone == zone)
+      in_flight += state.in_flight;
+  }
+  return in_flight;
+}
+
 base::MonoTime Placement::LastReceivedAt(const base::BackendId& backend) const {
   const auto found = states_.find(backend);
   return found == states_.end() ? base::MonoTime()
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -151,6 +151,8 @@
   BackendLoad LoadOf(const base::BackendId& backend, base::MonoTime now) const;
   // Requests in flight from this instance to any backend server of the service.
   int InFlightAt(const base::ServiceId& service) const;
+  // The same for the backend servers of an availability zone, of all services.
+  int InFlightIn(const base::ZoneId& zone) const;
   // When bytes last arrived; the epoch if never.
   base::MonoTime LastReceivedAt(const base::BackendId& backend) const;
 
@@ -160,6 +162,7 @@
     // Hash of the id, for the home of shared prompts.
     std::uint64_t id_hash = 0;
     base::ServiceId service;
+    base::ZoneId zone;
     int in_flight = 0;
     // Uncached prompt tokens sent by this instance whose prefill is not
     // complete.
--- a/src/dandelionmill/gateway/relay_session.cc
+++ b/src/dandelionmill/gateway/relay_session.cc
@@ -87,7 +87,8 @@
       !context_.backoff.Admits(*entry, accepted_at_) ||
       !context_.brittle_services.Admits(
           *entry, context_.placement.LoadOf(entry->id, accepted_at_),
-          accepted_at_))
+          accepted_at_) ||
+      IsEvacuated(*entry))
     return RelayStatus::kBackendNotUsable;
   const char* reason = context_.is_shutting_down           ? "shutting down"
                        : context_.overload.is_overloaded() ? "overloaded"
@@ -102,6 +103,10 @@
   return RelayStatus::kConnected;
 }
 
+bool RelaySession::IsEvacuated(const BackendEntry& entry) const {
+  return !request_.attempt.empty() && context_.evacuations.Includes(entry.zone);
+}
+
 void RelaySession::OnBackendConnected(ConnectionPool::Result result) {
   if (const auto* failure = std::get_if<ConnectFailure>(&result)) {
     if (context_.connector.IsPartitioned(backend_->service)) {
@@ -118,7 +123,8 @@
   connected_at_ = steady_clock::now();
   const bool is_usable =
       context_.directory.FindUsable(backend_->id, connected_at_) != nullptr &&
-      !context_.backoff.IsPaused(*backend_, connected_at_);
+      !context_.backoff.IsPaused(*backend_, connected_at_) &&
+      !IsEvacuated(*backend_);
   Respond(is_usable ? RelayStatus::kConnected : RelayStatus::kBackendNotUsable);
 }
 
@@ -155,6 +161,12 @@
           self->OnSourceEnded(channel, error);
           return;
         }
+        // The other instance may have stood still before it sent the request.
+        if (&channel == &self->to_backend_ && channel.relayed_bytes == 0 &&
+            self->IsEvacuated(*self->backend_)) {
+          self->End(true, "evacuated");
+          return;
+        }
         channel.relayed_bytes += count;
         self->context_.overload.OnReceived(count);
         self->context_.overload.OnSent(count);
--- a/src/dandelionmill/gateway/relay_session.h
+++ b/src/dandelionmill/gateway/relay_session.h
@@ -49,6 +49,10 @@
   void OnRequest(boost::system::error_code error);
   // Returns kConnected if this instance would send the request itself.
   RelayStatus Admit(const RelayRequest& request);
+  // Whether the connection is for a request and the zone of the backend server
+  // is evacuated. Checks of whether a backend server still runs are relayed:
+  // streams that run there are completed.
+  bool IsEvacuated(const BackendEntry& entry) const;
   void OnBackendConnected(ConnectionPool::Result result);
   // Sends the response, and begins to relay if it is kConnected.
   void Respond(RelayStatus status);
--- a/src/dandelionmill/platform/desired_state.cc
+++ b/src/dandelionmill/platform/desired_state.cc
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 
+#include "dandelionmill/platform/tables.h"
+
 namespace dandelionmill::platform {
 namespace {
 
@@ -225,4 +228,20 @@
   }
 }
 
+std::optional<scheduling::EvacuationRow> DecodeEvacuationRow(
+    const storage::VersionedRow& row) {
+  constexpr std::string_view kPrefix = kEvacuationKeyPrefix;
+  const std::string& key = row.key.key;
+  if (key.compare(0, kPrefix.size(), kPrefix) != 0)
+    return std::nullopt;
+  scheduling::EvacuationRow decoded;
+  decoded.zone = base::ZoneId(key.substr(kPrefix.size()));
+  decoded.version = row.version;
+  if (row.deleted)
+    decoded.state = scheduling::EvacuationRow::Removed{};
+  else if (!json::parse(row.value, nullptr, false).is_object())
+    decoded.state = scheduling::EvacuationRow::Malformed{};
+  return decoded;
+}
+
 }  // namespace dandelionmill::platform
--- a/src/dandelionmill/platform/node_settings.cc
+++ b/src/dandelionmill/platform/node_settings.cc
@@ -133,6 +133,8 @@
       reader.Milliseconds("bounds.graceS", settings.shutdown_grace, 1000);
   settings.drain_timeout =
       reader.Milliseconds("bounds.drainMs", settings.drain_timeout);
+  settings.evacuation_bound =
+      reader.Milliseconds("bounds.evacuationMs", settings.evacuation_bound);
   settings.heartbeat_interval =
       reader.Milliseconds("heartbeatIntervalMs", settings.heartbeat_interval);
   settings.retry_ratio =
--- a/src/dandelionmill/platform/node_settings.h
+++ b/src/dandelionmill/platform/node_settings.h
@@ -33,6 +33,9 @@
   std::chrono::milliseconds shutdown_grace{8000};
   // Time after which a leaving backend server receives no new requests.
   std::chrono::milliseconds drain_timeout{2500};
+  // Time after which an evacuated zone's backend servers receive no new
+  // requests.
+  std::chrono::milliseconds evacuation_bound{5000};
   // Interval at which backend servers renew their registry entries.
   std::chrono::milliseconds heartbeat_interval{1200};
   // Retry budget of the fleet per service and window: retry_ratio times the
--- a/tests/sessions/gateway/home_regions_test.cc
+++ b/tests/sessions/gateway/home_regions_test.cc
@@ -100,4 +100,15 @@
   }
 }
 
+// Guards against a retry without a backend server that is tried again at once,
+// until the service's allowance of retries is used up for all its requests.
+TEST_CASE("A retry that finds no backend server takes one from the allowance",
+          "[gateway][home_regions]") {
+  HomeRegionsFixture fixture(StateWithHome(1, {"abroad"}));
+  fixture.abroad.SetScript(Break);
+  CHECK(fixture.Send("/safe/x").status == 502);
+  fixture.Configure(DesiredState(2));
+  fixture.SendSome();
+}
+
 }  // namespace gateway_test
--- a/tests/unit/platform/desired_state_test.cc
+++ b/tests/unit/platform/desired_state_test.cc
@@ -116,3 +116,27 @@
                Catch::Contains("homeRegions") && Catch::Contains("account t"));
   }
 }
+
+// Guards against an evacuation that is missed, or invented, by its row.
+TEST_CASE("Rows that evacuate a zone are told from others and from wrong ones",
+          "[platform]") {
+  using dandelionmill::scheduling::EvacuationRow;
+  const auto decode = [](const std::string& key, const std::string& value,
+                         bool deleted = false) {
+    return dandelionmill::platform::DecodeEvacuationRow(
+        {{"op", "", key}, value, 7, deleted});
+  };
+  CHECK_FALSE(decode("config", "{}"));
+  CHECK_FALSE(decode("evacuated", "{}"));
+  const auto present = decode("evacuate/north/1", R"({"by":"me"})");
+  REQUIRE(present);
+  CHECK(present->zone == base::ZoneId("north/1"));
+  CHECK(present->version == 7);
+  CHECK(std::holds_alternative<EvacuationRow::Present>(present->state));
+  CHECK(std::holds_alternative<EvacuationRow::Removed>(
+      decode("evacuate/north", "", true)->state));
+  for (const char* wrong : {"", "[]", "null", "true", "{"}) {
+    CHECK(std::holds_alternative<EvacuationRow::Malformed>(
+        decode("evacuate/north", wrong)->state));
+  }
+}
--- a/tests/unit/platform/node_settings_test.cc
+++ b/tests/unit/platform/node_settings_test.cc
@@ -12,7 +12,8 @@
     "zones.south-a=south\nipAddress=10.1.0.40\n"
     "listen.frontend=10.1.0.40:8227\nlisten.ready=10.1.0.40:8220\n"
     "internalPortRange=7340,7355\nplatform.address=10.200.1.7:8223\n"
-    "bounds.graceS=8\nbounds.drainMs=2500\nbounds.retryBudgetRatio=0.2\n"
+    "bounds.graceS=8\nbounds.drainMs=2500\n"
+    "bounds.evacuationMs=4000\nbounds.retryBudgetRatio=0.2\n"
     "bounds.retryBudgetSlack=58\nbounds.budgetWindowS=10\n"
     "limits.memoryMb=260\nsomething.new=1\n";
 
@@ -37,6 +38,7 @@
   CHECK(settings.store.port == 8223);
   CHECK(settings.shutdown_grace == std::chrono::milliseconds(8000));
   CHECK(settings.retry_reserve == 58);
+  CHECK(settings.evacuation_bound == std::chrono::milliseconds(4000));
   CHECK(settings.regions.size() == 2);
 }
 
@@ -50,8 +52,9 @@
     CHECK_THAT(base::ErrorOf(parsed).detail, Catch::Contains(key));
   }
   for (const std::string line :
-       {"bounds.graceS=long", "bounds.retryBudgetRatio=7",
-        "listen.frontend=somewhere", "internalPortRange=x"}) {
+       {"bounds.graceS=long", "bounds.evacuationMs=5s",
+        "bounds.retryBudgetRatio=7", "listen.frontend=somewhere",
+        "internalPortRange=x"}) {
     const std::string key = line.substr(0, line.find('='));
     const auto parsed = ParseNodeSettings(kExample + line + "\n");
     REQUIRE_FALSE(base::IsOk(parsed));
