--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <random>
+#include <set>
 
 #include "dandelionmill/gateway/backend_backoff.h"
 #include "dandelionmill/gateway/backend_connector.h"
@@ -26,6 +27,8 @@
 #include "dandelionmill/gateway/stream_versions.h"
 #include "dandelionmill/gateway/version_records.h"
 #include "dandelionmill/prepaid/token_pool.h"
+#include "dandelionmill/scheduling/evacuations.h"
+#include "dandelionmill/scheduling/home_regions.h"
 
 namespace dandelionmill::gateway {
 
@@ -36,12 +39,15 @@
                  prepaid::TokenPool& prepaid_token_pool,
                  storage::AsyncTable& table,
                  base::ZoneId own_zone,
+                 scheduling::ZoneRegions regions,
                  RetryAllowance::Limits limits,
                  double link_bits_per_s,
                  PlacementPolicy policy)
       : loop(event_loop),
         token_pool(prepaid_token_pool),
         zone(std::move(own_zone)),
+        zone_regions(std::move(regions)),
+        evacuations(KnownZones()),
         retry_limits(limits),
         overload(link_bits_per_s),
         pool(event_loop),
@@ -74,6 +80,14 @@
   // instance with room. Random.
   bool ShouldRejectRequest() { return IsDrawn(overload.RejectShare()); }
 
+  // Returns the availability zones of the platform's settings.
+  std::set<base::ZoneId> KnownZones() const {
+    std::set<base::ZoneId> known = {zone};
+    for (const auto& [listed, region] : zone_regions)
+      known.insert(listed);
+    return known;
+  }
+
   // Returns true with the probability `share`.
   bool IsDrawn(double share) {
     return share > 0 && std::bernoulli_distribution(share)(random);
@@ -82,6 +96,8 @@
   boost::asio::io_context& loop;
   prepaid::TokenPool& token_pool;
   const base::ZoneId zone;
+  const scheduling::ZoneRegions zone_regions;
+  scheduling::Evacuations evacuations;
   const RetryAllowance::Limits retry_limits;
   OverloadDetector overload;
   // nullptr until the first configuration has been read.
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -69,6 +69,7 @@
   }
   if (state.service.empty()) {
     state.service = backend.service;
+    state.zone = backend.zone;
     state.incarnation = backend.incarnation;
     state.id_hash = base::StableHash(backend.id.value());
     state.fleet_load = &fleet_loads_[backend.service];
@@ -171,6 +172,15 @@
   return in_flight;
 }
 
+int Placement::InFlightIn(const base::ZoneId& zone) const {
+  int in_flight = 0;
+  for (const auto& [id, state] : states_) {
+    if (state.zone == zone)
+      in_flight += state.in_flight;
+  }
+  return in_flight;
+}
+
 base::MonoTime Placement::LastReceivedAt(const base::BackendId& backend) const {
   const auto found = states_.find(backend);
   return found == states_.end() ? base::MonoTime()
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -83,6 +83,8 @@
   BackendLoad LoadOf(const base::BackendId& backend, base::MonoTime now) const;
   // Requests in flight from this instance to any backend server of the service.
   int InFlightAt(const base::ServiceId& service) const;
+  // The same for the backend servers of an availability zone, of all services.
+  int InFlightIn(const base::ZoneId& zone) const;
   // When bytes last arrived; the epoch if never.
   base::MonoTime LastReceivedAt(const base::BackendId& backend) const;
 
--- a/src/dandelionmill/gateway/placement_state.h
+++ b/src/dandelionmill/gateway/placement_state.h
@@ -33,6 +33,7 @@
   // Hash of the id, for the home of shared prompts.
   std::uint64_t id_hash = 0;
   base::ServiceId service;
+  base::ZoneId zone;
   int in_flight = 0;
   // Uncached prompt tokens sent by this instance whose prefill is not
   // complete.
