Keep the requests to cold backend servers within their bound

Cause: every instance sent to a server that had just started as to any other. A server that comes back under the same id within the expiry of its entry looked warm to all instances, and empty.

Change: coldStartS and coldPerS of a service and bounds.coldOvershoot and bounds.coldSlack are read and checked; Cold-Milliseconds is decoded from responses. Placement leaves out servers that may not get a request now, and the allowance is tested again just before a request is sent, also for a relayed one. On a connection that may lead to an unknown process the server is asked for its health first. An entry with a negative or huge coldRemainingMs no longer counts as it stands. Services without coldPerS behave as before.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -328,6 +328,7 @@
           "after", duration_cast<milliseconds>(now - sent_at_));
     }
     may_have_run_ = true;
+    NoteConnectionLost();
     // Idle connections to this backend server may be broken as well.
     context_.pool.CloseIdle(backend_->id);
     if (!relay_)
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -112,6 +112,14 @@
   // far as the request needs it.
   void UseConnection(BackendConnectionPtr connection);
   void OnIncarnation(IncarnationReport report);
+  // Whether the connection may lead to a cold process that is not known yet.
+  bool NeedsWarmUpCheck(const BackendConnection& connection) const;
+  // Asks the backend server on the connection whether it is warm, before the
+  // request is sent.
+  void AskForWarmUp(BackendConnectionPtr connection);
+  void OnWarmUpChecked(IncarnationReport report);
+  // The process of the chosen backend server may have been replaced.
+  void NoteConnectionLost();
   // Whether the stream goes on after events that the caller has.
   bool IsResume() const {
     return event_count_ > 0 || !request_metadata_.last_event_id.empty();
@@ -245,6 +253,8 @@
   bool is_attempt_open_ = false;
   base::MonoTime chosen_at_{};
   bool is_prompt_pending_ = false;
+  // Whether the backend server was asked if it is warm.
+  bool is_warm_up_checked_ = false;
   // Whether the request was sent to the chosen backend server.
   bool is_sent_ = false;
   base::MonoTime sent_at_{};
--- a/src/dandelionmill/gateway/fleet_config.h
+++ b/src/dandelionmill/gateway/fleet_config.h
@@ -1,6 +1,7 @@
 #ifndef SRC_DANDELIONMILL_GATEWAY_FLEET_CONFIG_H_
 #define SRC_DANDELIONMILL_GATEWAY_FLEET_CONFIG_H_
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -80,6 +81,11 @@
   std::string health_path;
   // Connections that one backend server accepts from the whole fleet.
   int max_connections = 1;
+  // How long a backend server stays cold after its start; 0 if it never is.
+  std::chrono::milliseconds cold_start{0};
+  // Requests per second that a cold one takes from the whole fleet; 0 for no
+  // limit.
+  double cold_requests_per_s = 0;
   // Set for model engines only.
   std::optional<EngineTraits> engine;
 };
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -160,7 +160,10 @@
       readiness_(loop),
       metrics_(loop),
       acceptor_(loop),
-      timers_(loop) {}
+      timers_(loop) {
+  context_.cold_allowance.SetBounds(
+      {settings.cold_overshoot, settings.cold_slack});
+}
 
 Gateway::~Gateway() = default;
 
@@ -294,6 +297,39 @@
     if (service.engine)
       context_.placement.SetCacheTokens(id, service.engine->kv_cache_tokens);
   }
+  SetColdTerms();
+}
+
+void Gateway::SetColdTerms() {
+  std::map<base::ServiceId, scheduling::ColdAllowance::Terms> terms;
+  for (const auto& [id, service] : context_.config->services()) {
+    if (service.cold_requests_per_s > 0)
+      terms[id] = {service.cold_requests_per_s, service.cold_start};
+  }
+  context_.cold_allowance.SetServices(terms);
+  // Entries that were read before count as well.
+  for (const auto& [id, service_terms] : terms) {
+    for (const BackendEntry* backend :
+         context_.directory.Usable(id, std::chrono::steady_clock::now()))
+      context_.cold_allowance.OnEntry(*backend, base::BootClock::now());
+  }
+}
+
+void Gateway::ReportColdBackends() {
+  if (context_.cold_allowance.empty())
+    return;
+  const base::BootTime now = base::BootClock::now();
+  for (const auto& change : context_.cold_allowance.TakeChanges(now)) {
+    log::Event(log::Level::kInfo, "backend_cold_state")
+        .With("backend", change.backend)
+        .With("state", ToString(change.state))
+        .With("source", ToString(change.source))
+        .With("remaining_ms", change.remaining)
+        .With("share_per_s", change.requests_per_s)
+        .With("sharing", change.sharing)
+        .With("instances", change.known);
+  }
+  context_.metrics.OnColdBackends(context_.cold_allowance.LimitedCount(now));
 }
 
 void Gateway::OnBackendRow(const storage::VersionedRow& row) {
@@ -302,6 +338,8 @@
   if (row.deleted) {
     log::Event(log::Level::kInfo, "backend_removed").With("backend", id);
     context_.directory.Remove(id, now);
+    if (context_.directory.Find(id) == nullptr)
+      context_.cold_allowance.Remove(id);
     return;
   }
   const auto entry = platform::DecodeEngineEntry(row.key.key, row.value);
@@ -328,6 +366,7 @@
   }
   NoteReplacedVersion(backend);
   context_.directory.Put(backend);
+  context_.cold_allowance.OnEntry(backend, base::BootClock::now());
 }
 
 void Gateway::OnBackendRows(const std::vector<storage::VersionedRow>& rows) {
@@ -343,6 +382,11 @@
     }
   }
   context_.directory.Replace(entries, std::chrono::steady_clock::now());
+  for (const BackendEntry& entry : entries)
+    context_.cold_allowance.OnEntry(entry, base::BootClock::now());
+  context_.cold_allowance.RemoveUnless([this](const base::BackendId& id) {
+    return context_.directory.Find(id) != nullptr;
+  });
   log::Event(log::Level::kInfo, "backends_read").With("count", entries.size());
 }
 
@@ -435,6 +479,8 @@
   for (const peer::Instance& other : view.others)
     ids.push_back(other.id);
   context_.request_limits.SetInstances(settings_.instance, ids);
+  context_.cold_allowance.SetInstances(settings_.instance, ids,
+                                       base::BootClock::now());
   context_.connector.SetInstances(settings_.instance, view.others);
   borrower_.SetInstances(std::move(view.others));
 }
@@ -457,11 +503,13 @@
     context_.pool.CloseIdle(id);
     context_.placement.Remove(id);
     context_.request_limits.Remove(id);
+    context_.cold_allowance.Remove(id);
     context_.backoff.Remove(id);
   }
   context_.connector.Tick();
   context_.crash_guard.Expire(now);
   PublishBackendReports(now);
+  ReportColdBackends();
   context_.standstill.Tick(base::BootClock::now());
   context_.stream_versions.Expire(now);
   context_.version_records.Update(now);
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -70,6 +70,10 @@
   void NoteReplacedVersion(const BackendEntry& entry);
   // All changes of the registry up to the last call have been read.
   void OnRegistryCurrent();
+  // Sets the terms of cold backend servers as the configuration has them.
+  void SetColdTerms();
+  // Logs which backend servers became cold or warm.
+  void ReportColdBackends();
   void PublishBackendReports(base::MonoTime now);
   void Tick(base::MonoTime now);
   void OnShutdownTick(base::MonoTime now);
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -26,6 +26,7 @@
 #include "dandelionmill/gateway/stream_versions.h"
 #include "dandelionmill/gateway/version_records.h"
 #include "dandelionmill/prepaid/token_pool.h"
+#include "dandelionmill/scheduling/cold_allowance.h"
 
 namespace dandelionmill::gateway {
 
@@ -97,6 +98,7 @@
   BackendConnector connector;
   RequestLimits request_limits;
   BrittleServices brittle_services;
+  scheduling::ColdAllowance cold_allowance;
   StreamVersions stream_versions;
   ServiceVersions service_versions;
   VersionRecords version_records;
--- a/src/dandelionmill/gateway/gateway_metrics.cc
+++ b/src/dandelionmill/gateway/gateway_metrics.cc
@@ -71,6 +71,23 @@
       .Add(static_cast<std::int64_t>(bytes));
 }
 
+void GatewayMetrics::OnColdBackends(std::size_t count) {
+  registry_
+      .GetGauge("dandelion_cold_backends",
+                "Backend servers that are limited since they are or may be "
+                "cold.")
+      .Set(static_cast<std::int64_t>(count));
+}
+
+void GatewayMetrics::OnColdDeferred() {
+  registry_
+      .GetCounter("dandelion_cold_deferred_total",
+                  "Attempts given up before they were sent since the backend "
+                  "server is cold.",
+                  "")
+      .Add();
+}
+
 void GatewayMetrics::OnConfigVersion(std::int64_t version) {
   registry_
       .GetGauge("dandelion_config_version",
--- a/src/dandelionmill/gateway/gateway_metrics.h
+++ b/src/dandelionmill/gateway/gateway_metrics.h
@@ -38,6 +38,13 @@
                   std::uint64_t calls,
                   std::uint64_t bytes);
 
+  // Sets the gauge of backend servers whose requests are limited since they are
+  // or may be cold.
+  void OnColdBackends(std::size_t count);
+  // A request was not sent to the backend server that was chosen for it, since
+  // that turned out to be cold.
+  void OnColdDeferred();
+
   // Sets the gauges of one account: prepaid tokens that this instance holds and
   // that are available now, and requests that wait for tokens.
   void OnPrepaid(const std::string& account,
--- a/src/dandelionmill/gateway/incarnation_check.cc
+++ b/src/dandelionmill/gateway/incarnation_check.cc
@@ -24,11 +24,14 @@
 class Check : public std::enable_shared_from_this<Check> {
  public:
   Check(asio::io_context& loop,
-        const net::Address& address,
+        std::string head,
+        bool asks_for_report,
         BackendConnectionPtr connection,
         IncarnationHandler handler)
       : timer_(loop),
-        head_(platform::ReportRequestHead(address)),
+        head_(std::move(head)),
+        asks_for_report_(asks_for_report),
+        sent_at_(base::BootClock::now()),
         connection_(std::move(connection)),
         handler_(std::move(handler)) {
     parser_.body_limit(kMaxReportBytes);
@@ -72,9 +75,15 @@
     }
     IncarnationReport report;
     report.is_answered = true;
-    if (response.result_int() == 200)
-      report.incarnation = platform::DecodeReportedIncarnation(response.body());
-    connection_->incarnation = report.incarnation;
+    report.status = static_cast<int>(response.result_int());
+    report.remaining_warm_up = metadata.remaining_warm_up;
+    if (asks_for_report_) {
+      if (report.status == 200) {
+        report.incarnation =
+            platform::DecodeReportedIncarnation(response.body());
+      }
+      connection_->incarnation = report.incarnation;
+    }
     if (metadata.idle_timeout)
       connection_->idle_timeout = *metadata.idle_timeout;
     if (!is_closed_ && parser_.keep_alive() && connection_->buffer.size() == 0)
@@ -92,11 +101,14 @@
 
   void Complete(IncarnationReport report) {
     timer_.cancel();
+    report.sent_at = sent_at_;
     std::exchange(handler_, nullptr)(std::move(report));
   }
 
   asio::steady_timer timer_;
   const std::string head_;
+  const bool asks_for_report_;
+  const base::BootTime sent_at_;
   BackendConnectionPtr connection_;
   http::response_parser<http::string_body> parser_;
   IncarnationHandler handler_;
@@ -109,8 +121,18 @@
                       const net::Address& address,
                       BackendConnectionPtr connection,
                       IncarnationHandler handler) {
-  std::make_shared<Check>(loop, address, std::move(connection),
-                          std::move(handler))
+  std::make_shared<Check>(loop, platform::ReportRequestHead(address), true,
+                          std::move(connection), std::move(handler))
+      ->Run();
+}
+
+void CheckWarmUp(asio::io_context& loop,
+                 const net::Address& address,
+                 const std::string& path,
+                 BackendConnectionPtr connection,
+                 IncarnationHandler handler) {
+  std::make_shared<Check>(loop, platform::HealthRequestHead(address, path),
+                          false, std::move(connection), std::move(handler))
       ->Run();
 }
 
--- a/src/dandelionmill/gateway/incarnation_check.h
+++ b/src/dandelionmill/gateway/incarnation_check.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 
+#include "dandelionmill/base/boot_clock.h"
 #include "dandelionmill/gateway/connection_pool.h"
 
 namespace dandelionmill::gateway {
@@ -22,6 +24,11 @@
   bool is_answered = false;
   // Not set if the backend server did not report it.
   std::optional<std::int64_t> incarnation;
+  // HTTP status code of the answer; 0 if there is none.
+  int status = 0;
+  // Remaining warm-up that the backend server has reported, if any.
+  std::optional<std::chrono::milliseconds> remaining_warm_up;
+  base::BootTime sent_at{};
 };
 
 using IncarnationHandler = std::function<void(IncarnationReport)>;
@@ -35,6 +42,15 @@
                       BackendConnectionPtr connection,
                       IncarnationHandler handler);
 
+// Asks the process at the other end of `connection` for its health at `path`,
+// which tells whether it is warm. Otherwise the same; the report names no
+// incarnation.
+void CheckWarmUp(boost::asio::io_context& loop,
+                 const net::Address& address,
+                 const std::string& path,
+                 BackendConnectionPtr connection,
+                 IncarnationHandler handler);
+
 }  // namespace dandelionmill::gateway
 
 #endif  // SRC_DANDELIONMILL_GATEWAY_INCARNATION_CHECK_H_
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -242,6 +242,7 @@
     AddPlacementFields(event).With("status", response_status_);
   }
   if (response_metadata_.is_other_backend) {
+    NoteConnectionLost();
     context_.directory.Discard(backend_->id);
     context_.pool.CloseIdle(backend_->id);
   }
@@ -314,6 +315,7 @@
   }
   may_have_run_ = true;
   is_confirming_end_ = false;
+  NoteConnectionLost();
   context_.crash_guard.OnAttemptBroken({crash_traits_, backend_->id, sent_at_,
                                         is_answering_, now,
                                         answering_incarnation_});
--- a/src/dandelionmill/gateway/internal/exchange_connect.cc
+++ b/src/dandelionmill/gateway/internal/exchange_connect.cc
@@ -3,6 +3,7 @@
 
 #include "dandelionmill/gateway/exchange.h"
 #include "dandelionmill/gateway/internal/exchange_limits.h"
+#include "dandelionmill/gateway/response_observer.h"
 #include "dandelionmill/log/event.h"
 #include "dandelionmill/platform/headers.h"
 
@@ -69,6 +70,7 @@
                            context_.overload.is_link_queued();
   const bool is_own_path =
       is_own_link || context_.connector.IsPartitioned(service_->id);
+  NoteConnectionLost();
   EndAttempt(is_own_path ? AttemptEnd::kAbandoned : AttemptEnd::kBroken);
   ConnectElsewhere(!is_own_link && failure != ConnectFailure::kNotRelayed,
                    is_own_path);
@@ -129,7 +131,64 @@
                                                   base::BootClock::now());
 }
 
+bool Exchange::NeedsWarmUpCheck(const BackendConnection& connection) const {
+  // An instance that relays a connection makes the check itself.
+  return !context_.cold_allowance.empty() && !is_warm_up_checked_ &&
+         !connection.relay &&
+         context_.cold_allowance.NeedsCheck(*backend_, connection.opened_at,
+                                            base::BootClock::now());
+}
+
+void Exchange::AskForWarmUp(BackendConnectionPtr connection) {
+  is_warm_up_checked_ = true;
+  ArmTimer();
+  CheckWarmUp(context_.loop, backend_->address, service_->health_path,
+              std::move(connection),
+              [self = shared_from_this(),
+               backend = *backend_](IncarnationReport report) {
+                NoteWarmUpCheck(self->context_, backend, report);
+                if (!self->is_finished_)
+                  self->OnWarmUpChecked(std::move(report));
+                else if (report.connection)
+                  self->context_.pool.PutIdle(backend,
+                                              std::move(report.connection),
+                                              steady_clock::now());
+              });
+}
+
+void Exchange::OnWarmUpChecked(IncarnationReport report) {
+  const base::MonoTime now = steady_clock::now();
+  if (report.connection && !IsChoiceOutdated(now)) {
+    UseConnection(std::move(report.connection));
+    return;
+  }
+  // A process that closes the connection after its answer is known by now.
+  if (report.is_answered && !report.connection && !IsChoiceOutdated(now)) {
+    Connect();
+    return;
+  }
+  if (report.connection)
+    context_.pool.PutIdle(*backend_, std::move(report.connection), now);
+  EndAttempt(AttemptEnd::kAbandoned);
+  if (report.is_answered)
+    StartAttempt();
+  else
+    ConnectElsewhere(true, false);
+}
+
+void Exchange::NoteConnectionLost() {
+  if (context_.cold_allowance.empty())
+    return;
+  context_.cold_allowance.OnUnobserved(
+      backend_->id, scheduling::ColdAllowance::Source::kConnectionLost,
+      base::BootClock::now());
+}
+
 void Exchange::UseConnection(BackendConnectionPtr connection) {
+  if (NeedsWarmUpCheck(*connection)) {
+    AskForWarmUp(std::move(connection));
+    return;
+  }
   const bool needs_incarnation =
       route_->kind == RequestKind::kResumableStream && service_->engine &&
       (IsResume() || IsRegistryOutdated());
@@ -140,8 +199,11 @@
   // An instance that relays a connection takes its first response for that of
   // the request.
   if (connection->incarnation || connection->relay) {
-    const auto incarnation = connection->incarnation;
-    OnIncarnation({std::move(connection), true, incarnation});
+    IncarnationReport report;
+    report.is_answered = true;
+    report.incarnation = connection->incarnation;
+    report.connection = std::move(connection);
+    OnIncarnation(std::move(report));
     return;
   }
   ArmTimer();
@@ -158,6 +220,11 @@
       context_.pool.PutIdle(*backend_, std::move(report.connection), now);
     return;
   }
+  if (report.remaining_warm_up && report.connection) {
+    context_.cold_allowance.OnResponse(*backend_, report.remaining_warm_up,
+                                       report.connection->opened_at,
+                                       report.sent_at, base::BootClock::now());
+  }
   const bool is_listed =
       report.connection && IsListedIncarnation(*report.connection);
   {
@@ -200,6 +267,15 @@
     OnCallerDisconnected();
     return;
   }
+  if (!context_.cold_allowance.empty() &&
+      !context_.cold_allowance.TrySend(*backend_, base::BootClock::now())) {
+    context_.metrics.OnColdDeferred();
+    context_.pool.PutIdle(*backend_, std::move(connection),
+                          steady_clock::now());
+    EndAttempt(AttemptEnd::kAbandoned);
+    StartAttempt();
+    return;
+  }
   context_.metrics.OnAttempt(attempt_count_ == 0 ? "first" : "again");
   ++attempt_count_;
   is_sent_ = true;
--- a/src/dandelionmill/gateway/internal/exchange_placement.cc
+++ b/src/dandelionmill/gateway/internal/exchange_placement.cc
@@ -116,11 +116,13 @@
   const bool is_brittle =
       context_.brittle_services.IsBrittle(service_->id, now);
   if (context_.request_limits.empty() && context_.backoff.empty() &&
-      !is_brittle)
+      !is_brittle && context_.cold_allowance.empty())
     return;
+  const base::BootTime boot_now = base::BootClock::now();
   for (const BackendEntry* backend : backends) {
     if (!context_.request_limits.Admits(*backend, now) ||
         !context_.backoff.Admits(*backend, now) ||
+        !context_.cold_allowance.Admits(*backend, boot_now) ||
         (is_brittle && !IsAdmittedIfBrittle(*backend, now)))
       request.excluded.insert(backend->id);
   }
@@ -137,6 +139,9 @@
                             now);
   context_.request_limits.OnSent(backend_->id, now);
   context_.backoff.OnSent(backend_->id, now);
+  if (!context_.cold_allowance.empty())
+    context_.cold_allowance.Reserve(*backend_, base::BootClock::now());
+  is_warm_up_checked_ = false;
   chosen_at_ = now;
   relay_.reset();
   is_attempt_open_ = true;
@@ -177,6 +182,7 @@
     const std::vector<const BackendEntry*>& usable,
     base::MonoTime now) const {
   std::optional<milliseconds> soonest;
+  const base::BootTime boot_now = base::BootClock::now();
   for (const BackendEntry* backend : usable) {
     const auto until_limit =
         context_.request_limits.TimeUntilAdmitted(*backend, now);
@@ -185,6 +191,7 @@
     const milliseconds wait =
         std::max({std::min(*until_limit, kMaxRetryAfterLimit),
                   context_.backoff.TimeUntilAdmitted(*backend, now),
+                  context_.cold_allowance.TimeUntilAdmitted(*backend, boot_now),
                   IsAdmittedIfBrittle(*backend, now) ? milliseconds(0)
                                                      : kRetryAfterOverload});
     if (wait.count() == 0 && tried_backends_.count(backend->id) != 0)
--- a/src/dandelionmill/gateway/relay_session.cc
+++ b/src/dandelionmill/gateway/relay_session.cc
@@ -74,6 +74,8 @@
     return;
   }
   context_.backoff.OnSent(backend_->id, accepted_at_);
+  if (!context_.cold_allowance.empty() && !request_.attempt.empty())
+    context_.cold_allowance.Reserve(*backend_, base::BootClock::now());
   context_.connector.ConnectDirectly(
       *backend_, [self = shared_from_this()](ConnectionPool::Result result) {
         self->OnBackendConnected(std::move(result));
@@ -87,7 +89,9 @@
       !context_.backoff.Admits(*entry, accepted_at_) ||
       !context_.brittle_services.Admits(
           *entry, context_.placement.LoadOf(entry->id, accepted_at_),
-          accepted_at_))
+          accepted_at_) ||
+      (!request.attempt.empty() &&
+       !context_.cold_allowance.Admits(*entry, base::BootClock::now())))
     return RelayStatus::kBackendNotUsable;
   const char* reason = context_.is_shutting_down           ? "shutting down"
                        : context_.overload.is_overloaded() ? "overloaded"
@@ -104,6 +108,7 @@
 
 void RelaySession::OnBackendConnected(ConnectionPool::Result result) {
   if (const auto* failure = std::get_if<ConnectFailure>(&result)) {
+    NoteConnectionLost();
     if (context_.connector.IsPartitioned(backend_->service)) {
       refusal_reason_ = "partitioned";
       Respond(RelayStatus::kUnavailable);
@@ -115,10 +120,53 @@
     return;
   }
   connection_ = std::move(std::get<BackendConnectionPtr>(result));
+  if (!NeedsWarmUpCheck()) {
+    OnConnectionUsable();
+    return;
+  }
+  const Service* service = context_.config->FindService(backend_->service);
+  CheckWarmUp(context_.loop, backend_->address, service->health_path,
+              std::move(connection_),
+              [self = shared_from_this()](IncarnationReport report) {
+                NoteWarmUpCheck(self->context_, *self->backend_, report);
+                self->OnWarmUpChecked(std::move(report));
+              });
+}
+
+bool RelaySession::NeedsWarmUpCheck() const {
+  // A connection without a request is opened only to learn whether that works.
+  return !context_.cold_allowance.empty() && !request_.attempt.empty() &&
+         context_.config->FindService(backend_->service) != nullptr &&
+         context_.cold_allowance.NeedsCheck(*backend_, connection_->opened_at,
+                                            base::BootClock::now());
+}
+
+void RelaySession::OnWarmUpChecked(IncarnationReport report) {
+  if (!on_ended_)
+    return;
+  if (!report.connection) {
+    Respond(RelayStatus::kBackendTimedOut);
+    return;
+  }
+  connection_ = std::move(report.connection);
+  OnConnectionUsable();
+}
+
+void RelaySession::NoteConnectionLost() {
+  if (context_.cold_allowance.empty())
+    return;
+  context_.cold_allowance.OnUnobserved(
+      backend_->id, scheduling::ColdAllowance::Source::kConnectionLost,
+      base::BootClock::now());
+}
+
+void RelaySession::OnConnectionUsable() {
   connected_at_ = steady_clock::now();
   const bool is_usable =
       context_.directory.FindUsable(backend_->id, connected_at_) != nullptr &&
-      !context_.backoff.IsPaused(*backend_, connected_at_);
+      !context_.backoff.IsPaused(*backend_, connected_at_) &&
+      (request_.attempt.empty() ||
+       context_.cold_allowance.TrySend(*backend_, base::BootClock::now()));
   Respond(is_usable ? RelayStatus::kConnected : RelayStatus::kBackendNotUsable);
 }
 
@@ -178,6 +226,7 @@
     return;
   }
   if (error != asio::error::eof) {
+    NoteConnectionLost();
     End(true, "broken by the backend server");
     return;
   }
--- a/src/dandelionmill/gateway/relay_session.h
+++ b/src/dandelionmill/gateway/relay_session.h
@@ -16,6 +16,7 @@
 
 #include "dandelionmill/gateway/connection_pool.h"
 #include "dandelionmill/gateway/gateway_context.h"
+#include "dandelionmill/gateway/incarnation_check.h"
 #include "dandelionmill/gateway/relay_protocol.h"
 
 namespace dandelionmill::gateway {
@@ -50,6 +51,13 @@
   // Returns kConnected if this instance would send the request itself.
   RelayStatus Admit(const RelayRequest& request);
   void OnBackendConnected(ConnectionPool::Result result);
+  // Whether the backend server has to be asked first if it is warm.
+  bool NeedsWarmUpCheck() const;
+  void OnWarmUpChecked(IncarnationReport report);
+  // Responds once the connection can carry the request.
+  void OnConnectionUsable();
+  // The process of the backend server may have been replaced.
+  void NoteConnectionLost();
   // Sends the response, and begins to relay if it is kConnected.
   void Respond(RelayStatus status);
   void Relay(Channel& channel);
--- a/src/dandelionmill/gateway/request_metadata.h
+++ b/src/dandelionmill/gateway/request_metadata.h
@@ -73,6 +73,9 @@
   // The backend server fails if it has to reject more requests than this in a
   // second for want of room; not set if it does not say so.
   std::optional<double> max_rejections_per_s;
+  // How long the backend server stays cold, that is, takes only few requests;
+  // 0 if it is warm, not set if it does not say so.
+  std::optional<std::chrono::milliseconds> remaining_warm_up;
   // The backend server leaves and takes no new requests.
   bool is_leaving = false;
   // How long the backend server, which has turned the request away, wants no
--- a/src/dandelionmill/gateway/response_observer.cc
+++ b/src/dandelionmill/gateway/response_observer.cc
@@ -39,6 +39,13 @@
     add_fields(event);
     event.With("requests_per_s", metadata.requests_per_s.value_or(0));
   }
+  // The process that answers 421 has another id.
+  if (!context.cold_allowance.empty() && !metadata.is_other_backend) {
+    const base::BootTime boot_now = base::BootClock::now();
+    context.cold_allowance.OnResponse(
+        backend, metadata.remaining_warm_up, response.process.connected_at,
+        boot_now - (now - response.sent_at), boot_now);
+  }
   if (metadata.max_rejections_per_s &&
       context.brittle_services.OnBrittle(backend.service, now)) {
     log::Event event(log::Level::kWarning, "service_brittle");
@@ -74,4 +81,15 @@
   }
 }
 
+void NoteWarmUpCheck(GatewayContext& context,
+                     const BackendEntry& backend,
+                     const IncarnationReport& report) {
+  // A server that fails to report its health has not shown that it is warm.
+  const bool is_answered =
+      report.is_answered && (report.status < 500 || report.remaining_warm_up);
+  context.cold_allowance.OnChecked(
+      backend, {is_answered, report.remaining_warm_up, report.sent_at},
+      base::BootClock::now());
+}
+
 }  // namespace dandelionmill::gateway
--- a/src/dandelionmill/gateway/response_observer.h
+++ b/src/dandelionmill/gateway/response_observer.h
@@ -6,6 +6,7 @@
 #include "dandelionmill/base/units.h"
 #include "dandelionmill/gateway/backend_entry.h"
 #include "dandelionmill/gateway/backend_process.h"
+#include "dandelionmill/gateway/incarnation_check.h"
 #include "dandelionmill/gateway/request_metadata.h"
 #include "dandelionmill/log/event.h"
 
@@ -33,6 +34,11 @@
                      const std::function<void(log::Event&)>& add_fields,
                      base::MonoTime now);
 
+// Takes note of the outcome of CheckWarmUp on a connection of this instance.
+void NoteWarmUpCheck(GatewayContext& context,
+                     const BackendEntry& backend,
+                     const IncarnationReport& report);
+
 }  // namespace dandelionmill::gateway
 
 #endif  // SRC_DANDELIONMILL_GATEWAY_RESPONSE_OBSERVER_H_
--- a/src/dandelionmill/platform/desired_state.cc
+++ b/src/dandelionmill/platform/desired_state.cc
@@ -93,12 +93,28 @@
   return route;
 }
 
+// Largest rate and number of seconds that a service may name.
+constexpr double kMaxServiceNumber = 1e6;
+
+// Returns 0 if the field is missing or null.
+double ReadServiceNumber(const json& object, const char* name) {
+  const auto value = ReadFieldOr<double>(object, name, 0);
+  if (!(value >= 0 && value <= kMaxServiceNumber)) {
+    throw DecodeError{std::string("field \"") + name + "\" is " +
+                      std::to_string(value) + "; allowed: 0 to 1000000"};
+  }
+  return value;
+}
+
 gateway::Service ReadService(const json& object) {
   gateway::Service service;
   service.id = base::ServiceId(ReadField<std::string>(object, "name"));
   service.health_path =
       ReadFieldOr<std::string>(object, "healthPath", "/health");
   service.max_connections = ReadFieldOr<int>(object, "connectionLimit", 64);
+  service.cold_start = std::chrono::milliseconds(static_cast<std::int64_t>(
+      1000 * ReadServiceNumber(object, "coldStartS")));
+  service.cold_requests_per_s = ReadServiceNumber(object, "coldPerS");
   if (object.contains("engine") && object["engine"].is_object()) {
     const json& engine = object["engine"];
     gateway::EngineTraits traits;
--- a/src/dandelionmill/platform/engine_entry.cc
+++ b/src/dandelionmill/platform/engine_entry.cc
@@ -1,5 +1,6 @@
 #include "dandelionmill/platform/engine_entry.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace dandelionmill::platform {
@@ -64,8 +65,11 @@
     if (!entry["coldRemainingMs"].is_number())
       return MalformedField(id, "coldRemainingMs");
     // "coldRemainingMs" is the remaining warm-up time.
-    decoded.remaining_warm_up = std::chrono::milliseconds(
-        static_cast<std::int64_t>(entry["coldRemainingMs"].get<double>()));
+    // Negative for a server that has warmed up; no server takes a day.
+    constexpr double kMaxWarmUpMs = 24 * 3600 * 1000.0;
+    decoded.remaining_warm_up =
+        std::chrono::milliseconds(static_cast<std::int64_t>(std::clamp(
+            entry["coldRemainingMs"].get<double>(), 0.0, kMaxWarmUpMs)));
   }
   return decoded;
 }
--- a/src/dandelionmill/platform/headers.cc
+++ b/src/dandelionmill/platform/headers.cc
@@ -36,6 +36,10 @@
 // that a wrong one does not take the server out of use for good.
 constexpr std::chrono::seconds kMaxPause{60};
 
+// Longer remaining warm-up times are shortened to this value, for the same
+// reason.
+constexpr std::chrono::minutes kMaxWarmUp{10};
+
 // Hop-by-hop fields (RFC 9110, section 7.6.1) and the fields that frame the
 // body.
 constexpr const char* kHopByHopFields[] = {"Connection",
@@ -178,6 +182,18 @@
                std::chrono::duration<double>(kMaxPause)));
 }
 
+// Parses a number of milliseconds. One that cannot be read counts as none.
+std::optional<std::chrono::milliseconds> ParseMilliseconds(
+    const std::string& text) {
+  double value = 0;
+  if (text.empty() || !ParseNumber(std::string_view(text), value) ||
+      !std::isfinite(value) || value < 0)
+    return std::nullopt;
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::min(std::chrono::duration<double, std::milli>(value),
+               std::chrono::duration<double, std::milli>(kMaxWarmUp)));
+}
+
 std::optional<std::chrono::milliseconds> ParseKeepAlive(
     const std::string& text) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -269,6 +285,8 @@
   metadata.requests_per_s = ParseRate(FieldValue(message, "Server-Limit"));
   metadata.max_rejections_per_s =
       ParseRate(FieldValue(message, "Server-Brittle"));
+  metadata.remaining_warm_up =
+      ParseMilliseconds(FieldValue(message, "Cold-Milliseconds"));
   metadata.is_leaving = FieldValue(message, "Server-Leaving") == "1";
   const std::string retry_after = FieldValue(message, "Retry-After");
   if (status == kServiceUnavailable && !retry_after.empty()) {
--- a/src/dandelionmill/platform/node_settings.cc
+++ b/src/dandelionmill/platform/node_settings.cc
@@ -141,6 +141,10 @@
       reader.Number("bounds.retryBudgetSlack", settings.retry_reserve, 1e6);
   settings.retry_window =
       reader.Milliseconds("bounds.budgetWindowS", settings.retry_window, 1000);
+  settings.cold_overshoot =
+      reader.Number("bounds.coldOvershoot", settings.cold_overshoot, 100);
+  settings.cold_slack =
+      reader.Number("bounds.coldSlack", settings.cold_slack, 1e6);
   settings.max_file_descriptors = static_cast<int>(reader.Number(
       "limits.fileDescriptors", settings.max_file_descriptors, 1e7));
   settings.memory_mb = static_cast<int>(
--- a/src/dandelionmill/platform/node_settings.h
+++ b/src/dandelionmill/platform/node_settings.h
@@ -40,6 +40,10 @@
   double retry_ratio = 0.2;
   double retry_reserve = 50;
   std::chrono::milliseconds retry_window{10000};
+  // At most cold_overshoot times the rate that a cold backend server can take,
+  // plus cold_slack, may reach it in one second.
+  double cold_overshoot = 1.5;
+  double cold_slack = 5;
   int max_file_descriptors = 1024;
   int memory_mb = 256;
   // Capacity of the instance's network link per direction; 0 when unknown.
--- a/src/dandelionmill/scheduling/cold_allowance.cc
+++ b/src/dandelionmill/scheduling/cold_allowance.cc
@@ -303,6 +303,12 @@
   return true;
 }
 
+void ColdAllowance::RemoveUnless(
+    const std::function<bool(const base::BackendId&)>& is_listed) {
+  for (auto it = members_.begin(); it != members_.end();)
+    it = is_listed(it->first) ? std::next(it) : members_.erase(it);
+}
+
 std::vector<ColdAllowance::Change> ColdAllowance::TakeChanges(
     base::BootTime now) {
   for (auto& [id, member] : members_) {
--- a/src/dandelionmill/scheduling/cold_allowance.h
+++ b/src/dandelionmill/scheduling/cold_allowance.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -129,6 +130,9 @@
   bool TrySend(const gateway::BackendEntry& backend, base::BootTime now);
   // The backend server was removed.
   void Remove(const base::BackendId& backend) { members_.erase(backend); }
+  // Removes all backend servers for which `is_listed` is false.
+  void RemoveUnless(
+      const std::function<bool(const base::BackendId&)>& is_listed);
   // Notes which servers have become warm by now. Returns the changes since the
   // last call.
   std::vector<Change> TakeChanges(base::BootTime now);
--- a/standins/backend/scripted_engine.cc
+++ b/standins/backend/scripted_engine.cc
@@ -214,6 +214,14 @@
       "Server-Brittle: " + std::to_string(rejections_per_s) + "\r\n");
 }
 
+ScriptedEngine::Answer ScriptedEngine::Cold(
+    Answer answer,
+    std::chrono::milliseconds remaining) {
+  return AddFields(
+      std::move(answer),
+      "Cold-Milliseconds: " + std::to_string(remaining.count()) + "\r\n");
+}
+
 std::string ScriptedEngine::StreamHead(const Request& request) {
   return "HTTP/1.1 200 OK\r\n" + CommonHeaders(request) +
          "Content-Type: text/event-stream\r\nTransfer-Encoding: "
--- a/standins/backend/scripted_engine.h
+++ b/standins/backend/scripted_engine.h
@@ -84,6 +84,8 @@
   // Returns the answer of an engine that falls over if it has to turn away more
   // than `rejections_per_s` requests in a second.
   static Answer Brittle(Answer answer, double rejections_per_s);
+  // Returns the answer of an engine that is cold for `remaining` more.
+  static Answer Cold(Answer answer, std::chrono::milliseconds remaining);
   // Returns the header of an event stream with chunked transfer encoding.
   static std::string StreamHead(const Request& request);
   // Returns event `id` as one chunk.
--- a/tests/unit/platform/desired_state_test.cc
+++ b/tests/unit/platform/desired_state_test.cc
@@ -18,6 +18,7 @@
  {"name":"r2","host":"a.example","prefix":"/y/","kind":"unsafe",
   "timeoutMs":2000,"service":"n","attempts":1,"public":true}],
  "services":[{"name":"m","healthPath":"/health","connectionLimit":630,
+  "coldStartS":3,"coldPerS":14.5,
   "engine":{"slots":128,"kvCacheTokens":759962,"stride":5}},{"name":"n"}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
   "headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -48,6 +49,9 @@
   REQUIRE(service->engine);
   CHECK(service->engine->tokens_per_event == 5);
   CHECK(service->max_connections == 630);
+  CHECK(service->cold_start == std::chrono::milliseconds(3000));
+  CHECK(service->cold_requests_per_s == 14.5);
+  CHECK(config.FindService(ServiceId("n"))->cold_requests_per_s == 0);
   REQUIRE(config.FindAccountByKey("k") != nullptr);
   CHECK(config.FindAccountByKey("k")->prepaid == base::Tokens{8631215});
   CHECK_FALSE(config.FindAccount(AccountId("u"))->prepaid);
@@ -81,4 +85,11 @@
              Catch::Contains("routes"));
   CHECK_THAT(error_detail(R"({"version":1,"services":[{"name":3}]})"),
              Catch::Contains("name"));
+  for (const char* value : {"-1", "\"14\"", "1e300"}) {
+    INFO(value);
+    CHECK_THAT(
+        error_detail(R"({"version":1,"services":[{"name":"m","coldPerS":)" +
+                     std::string(value) + "}]}"),
+        Catch::Contains("coldPerS"));
+  }
 }
--- a/tests/unit/platform/engine_entry_test.cc
+++ b/tests/unit/platform/engine_entry_test.cc
@@ -30,6 +30,17 @@
   CHECK(entry.incarnation == 1764823000123);
 }
 
+TEST_CASE("The remaining warm-up of a registry entry is never negative",
+          "[platform]") {
+  json entry = ValidEntry();
+  for (const auto& [value, expected] :
+       {std::pair(2500.0, 2500), {-3.0, 0}, {1e300, 86400000}}) {
+    entry["coldRemainingMs"] = value;
+    CHECK(base::ValueOf(DecodeEngineEntry("i-1", entry.dump()))
+              .remaining_warm_up == std::chrono::milliseconds(expected));
+  }
+}
+
 TEST_CASE("The state \"draining\" marks a backend server as draining",
           "[platform]") {
   json entry = ValidEntry();
--- a/tests/unit/platform/headers_test.cc
+++ b/tests/unit/platform/headers_test.cc
@@ -122,6 +122,24 @@
           platform::DecodeResponseMetadata(200, message).requests_per_s);
     }
   }
+  SECTION("the remaining warm-up is a number of milliseconds") {
+    CHECK_FALSE(metadata.remaining_warm_up);
+    message.set("Cold-Milliseconds", "0");
+    CHECK(platform::DecodeResponseMetadata(200, message).remaining_warm_up ==
+          std::chrono::milliseconds(0));
+    message.set("Cold-Milliseconds", "1800.5");
+    CHECK(platform::DecodeResponseMetadata(503, message).remaining_warm_up ==
+          std::chrono::milliseconds(1801));
+    message.set("Cold-Milliseconds", "1e18");
+    CHECK(platform::DecodeResponseMetadata(200, message).remaining_warm_up ==
+          std::chrono::minutes(10));
+    for (const char* text : {"", "x", "5s", "-1", "nan", "inf"}) {
+      INFO(text);
+      message.set("Cold-Milliseconds", text);
+      CHECK_FALSE(
+          platform::DecodeResponseMetadata(200, message).remaining_warm_up);
+    }
+  }
   SECTION("a brittle server names how many rejections a second it bears") {
     CHECK_FALSE(metadata.max_rejections_per_s);
     message.set("Server-Brittle", "6");
--- a/tests/unit/platform/node_settings_test.cc
+++ b/tests/unit/platform/node_settings_test.cc
@@ -14,6 +14,7 @@
     "internalPortRange=7340,7355\nplatform.address=10.200.1.7:8223\n"
     "bounds.graceS=8\nbounds.drainMs=2500\nbounds.retryBudgetRatio=0.2\n"
     "bounds.retryBudgetSlack=58\nbounds.budgetWindowS=10\n"
+    "bounds.coldOvershoot=1.25\n"
     "limits.memoryMb=260\nsomething.new=1\n";
 
 std::string Without(const std::string& key) {
@@ -37,6 +38,8 @@
   CHECK(settings.store.port == 8223);
   CHECK(settings.shutdown_grace == std::chrono::milliseconds(8000));
   CHECK(settings.retry_reserve == 58);
+  CHECK(settings.cold_overshoot == 1.25);
+  CHECK(settings.cold_slack == 5);
   CHECK(settings.regions.size() == 2);
 }
 
@@ -51,6 +54,7 @@
   }
   for (const std::string line :
        {"bounds.graceS=long", "bounds.retryBudgetRatio=7",
+        "bounds.coldOvershoot=-1", "bounds.coldSlack=some",
         "listen.frontend=somewhere", "internalPortRange=x"}) {
     const std::string key = line.substr(0, line.find('='));
     const auto parsed = ParseNodeSettings(kExample + line + "\n");
