--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -58,6 +58,9 @@
   void Accept();
   void OnConfigRow(const storage::VersionedRow& row);
   void OnConfigRows(const std::vector<storage::VersionedRow>& rows);
+  // The backend servers of an evacuated zone get no requests, so that nothing
+  // shows whether they have become cold.
+  void ForgetObservations(const base::ZoneId& zone);
   void OnEvacuationChanges(const scheduling::EvacuationChanges& changes);
   void OnBackendRow(const storage::VersionedRow& row);
   void OnBackendRows(const std::vector<storage::VersionedRow>& rows);
@@ -72,6 +75,10 @@
   void NoteReplacedVersion(const BackendEntry& entry);
   // All changes of the registry up to the last call have been read.
   void OnRegistryCurrent();
+  // Sets the terms of cold backend servers as the configuration has them.
+  void SetColdTerms();
+  // Logs which backend servers became cold or warm.
+  void ReportColdBackends();
   void PublishBackendReports(base::MonoTime now);
   void Tick(base::MonoTime now);
   void OnShutdownTick(base::MonoTime now);
--- a/tests/unit/platform/node_settings_test.cc
+++ b/tests/unit/platform/node_settings_test.cc
@@ -15,6 +15,7 @@
     "bounds.graceS=8\nbounds.drainMs=2500\n"
     "bounds.evacuationMs=4000\nbounds.retryBudgetRatio=0.2\n"
     "bounds.retryBudgetSlack=58\nbounds.budgetWindowS=10\n"
+    "bounds.coldOvershoot=1.25\n"
     "limits.memoryMb=260\nsomething.new=1\n";
 
 std::string Without(const std::string& key) {
@@ -39,6 +40,8 @@
   CHECK(settings.shutdown_grace == std::chrono::milliseconds(8000));
   CHECK(settings.retry_reserve == 58);
   CHECK(settings.evacuation_bound == std::chrono::milliseconds(4000));
+  CHECK(settings.cold_overshoot == 1.25);
+  CHECK(settings.cold_slack == 5);
   CHECK(settings.regions.size() == 2);
 }
 
@@ -53,7 +56,8 @@
   }
   for (const std::string line :
        {"bounds.graceS=long", "bounds.evacuationMs=5s",
-        "bounds.retryBudgetRatio=7", "listen.frontend=somewhere",
+        "bounds.retryBudgetRatio=7", "bounds.coldOvershoot=-1",
+        "bounds.coldSlack=some", "listen.frontend=somewhere",
         "internalPortRange=x"}) {
     const std::string key = line.substr(0, line.find('='));
     const auto parsed = ParseNodeSettings(kExample + line + "\n");
