Redirect fresh requests early from an instance whose link is full

Change: scheduling/link_admission decides by the load of the last half second. A retry reaches another instance.

--- a/src/dandelionmill/gateway/exchange.cc
+++ b/src/dandelionmill/gateway/exchange.cc
@@ -8,6 +8,7 @@
 #include "dandelionmill/gateway/internal/exchange_limits.h"
 #include "dandelionmill/log/event.h"
 #include "dandelionmill/platform/headers.h"
+#include "dandelionmill/scheduling/link_admission.h"
 
 namespace dandelionmill::gateway {
 namespace {
@@ -59,15 +60,34 @@
     return;
   }
   context_.RetryAllowanceFor(service_->id).OnRequest(started_at_);
+  if (!RedirectToInstanceWithRoom())
+    ResolveVersion();
+}
+
+bool Exchange::RedirectToInstanceWithRoom() {
   // A resumed stream has been broken off once already.
-  if (request_metadata_.last_event_id.empty() &&
-      context_.ShouldRejectRequest()) {
-    caller_keeps_connection_ = false;
-    Refuse(RefuseNotRun(base::Code::kOverloaded, "the instance is overloaded",
-                        kRetryAtOnce));
-    return;
-  }
-  ResolveVersion();
+  if (!request_metadata_.last_event_id.empty())
+    return false;
+  const double link_load = context_.overload.recent_link_load();
+  const scheduling::CallerHistory history = scheduling::HistoryOf(
+      route_->timeout,
+      request_metadata_.remaining_time.value_or(route_->timeout));
+  const bool is_link_full =
+      context_.instance_count > 1 &&
+      context_.IsDrawn(scheduling::RedirectShare(link_load, history));
+  const bool is_rejected =
+      is_link_full || (history != scheduling::CallerHistory::kReturned &&
+                       context_.ShouldRejectRequest());
+  if (!is_rejected)
+    return false;
+  if (is_link_full)
+    context_.metrics.OnRedirected();
+  caller_keeps_connection_ = false;
+  Refuse(RefuseNotRun(base::Code::kOverloaded,
+                      is_link_full ? "the link of the instance is full"
+                                   : "the instance is overloaded",
+                      kRetryAtOnce));
+  return true;
 }
 
 void Exchange::ResolveVersion() {
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -73,6 +73,9 @@
   void OnComplete() override;
   void OnBroken(const std::string& reason) override;
 
+  // Refuses the request if it would wait too long on the link of this instance,
+  // so that the retry reaches another one. Returns whether it did.
+  bool RedirectToInstanceWithRoom();
   // Returns the refusal if the request cannot be served.
   std::optional<Refusal> Validate();
   // Returns the refusal of a request that the configuration does not allow. It
--- a/src/dandelionmill/gateway/gateway_metrics.cc
+++ b/src/dandelionmill/gateway/gateway_metrics.cc
@@ -71,6 +71,15 @@
       .Add(static_cast<std::int64_t>(bytes));
 }
 
+void GatewayMetrics::OnRedirected() {
+  registry_
+      .GetCounter("dandelion_redirected_requests_total",
+                  "Requests refused since they would wait on the link of this "
+                  "instance.",
+                  "")
+      .Add();
+}
+
 void GatewayMetrics::OnConfigVersion(std::int64_t version) {
   registry_
       .GetGauge("dandelion_config_version",
--- a/src/dandelionmill/gateway/gateway_metrics.h
+++ b/src/dandelionmill/gateway/gateway_metrics.h
@@ -23,6 +23,8 @@
   void OnFirstEvent(const char* kind, std::chrono::milliseconds waited);
   // A request was sent to a backend server. `reason` is "first" or "again".
   void OnAttempt(const char* reason);
+  // A request was refused so that its retry reaches another instance.
+  void OnRedirected();
   void OnConfigVersion(std::int64_t version);
   // Sets the gauges. `config_age` and `registry_age` are the times since the
   // store last answered about the configuration and the registry.
--- a/src/dandelionmill/gateway/overload_detector.cc
+++ b/src/dandelionmill/gateway/overload_detector.cc
@@ -40,6 +40,9 @@
 
 // Weight of one tick in the moving average of the link utilization.
 constexpr double kLinkUseSmoothing = 0.3;
+// The same for the decision on single requests, which costs a caller less than
+// one on all its connections.
+constexpr double kRecentLinkUseSmoothing = 0.6;
 
 // Delay of a tick, and number of consecutive ticks that late, that indicate an
 // overloaded processor, and the load that they stand for.
@@ -91,6 +94,7 @@
   if (link_bits_per_s_ > 0 && elapsed.count() > 0) {
     const double use = bits / elapsed.count() / link_bits_per_s_;
     link_use_ += kLinkUseSmoothing * (use - link_use_);
+    recent_link_use_ += kRecentLinkUseSmoothing * (use - recent_link_use_);
   }
   MeasureConnectDelay();
   consecutive_late_ticks_ =
@@ -142,6 +146,11 @@
                    late_ticks_load});
 }
 
+double OverloadDetector::recent_link_load() const {
+  return std::max(recent_link_use_ / kFullLinkUse,
+                  duration<double>(connect_delay_) / kFullConnectDelay);
+}
+
 double OverloadDetector::CloseShare(base::MonoTime now) const {
   const double load = Load();
   return load <= 1 || !IsOutOfRotation(now)
--- a/src/dandelionmill/gateway/overload_detector.h
+++ b/src/dandelionmill/gateway/overload_detector.h
@@ -52,6 +52,9 @@
   // others would wait for them, and their callers give up. Their retries reach
   // other instances once the balancer has noticed.
   double RejectShare() const;
+  // Load of the link relative to what it carries without queues, over the last
+  // half second: 1 when full.
+  double recent_link_load() const;
   // Utilization of the link in the busier direction, as an exponential moving
   // average, and what Tick was given last, both from 0 to 1.
   double link_use() const { return link_use_; }
@@ -72,6 +75,8 @@
   std::uint64_t sent_bytes_ = 0;
   base::MonoTime last_tick_{};
   double link_use_ = 0;
+  // The same over a shorter time.
+  double recent_link_use_ = 0;
   double backlog_share_ = 0;
   std::chrono::milliseconds connect_delay_{0};
   // Connections since the last tick, and the time that the fastest took.
