Let instances report to each other what they have in progress

Change: each instance sends its requests in flight and its pending prompt tokens at each backend server in a datagram every 150 ms to at most 24 others (peer/load_exchange, the port after that of loans); scheduling/peer_loads sums them, and placement adds them to its own. Only for backend servers that report a work time, so that other deployments send nothing. A lost, late or repeated report does no harm; an instance that is silent for three intervals does not count.

--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -81,6 +81,15 @@
             token_pool_.AddReceivedTokens(account, tokens);
           }),
       borrower_(loop, lending_, settings.instance),
+      load_exchange_(
+          loop,
+          process_id_,
+          context_.random(),
+          [this](peer::LoadReport report) {
+            context_.placement.OnPeerLoads(peer_loads_.OnReport(
+                report.process, report.number, std::move(report.loads),
+                std::chrono::steady_clock::now()));
+          }),
       backend_reports_(context_.crash_guard,
                        context_.request_limits,
                        store_,
@@ -187,6 +196,13 @@
     status = lending_.Listen(settings_.peer_address);
   if (base::IsOk(status))
     status = relay_server_.Listen(settings_.peer_address);
+  if (base::IsOk(status)) {
+    const base::Status exchange = load_exchange_.Listen(settings_.peer_address);
+    if (!base::IsOk(exchange)) {
+      log::Event(log::Level::kWarning, "load_exchange_off")
+          .With(base::ErrorOf(exchange));
+    }
+  }
   if (!base::IsOk(status))
     return status;
   token_pool_.SetPeers(
@@ -216,6 +232,8 @@
   crash_follower_.Start();
   fleet_members_.Tick();
   timers_.Subscribe(kTickInterval, [this](base::MonoTime now) { Tick(now); });
+  timers_.Subscribe(scheduling::PeerLoads::kReportInterval,
+                    [this](base::MonoTime now) { ReportLoad(now); });
   timers_.Subscribe(prepaid::Ledger::kRowInterval,
                     [this](base::MonoTime) { token_pool_.Tick(); });
   timers_.Subscribe(FleetMembers::kHeartbeatInterval,
@@ -436,9 +454,21 @@
     ids.push_back(other.id);
   context_.request_limits.SetInstances(settings_.instance, ids);
   context_.connector.SetInstances(settings_.instance, view.others);
+  peer_loads_.SetInstances(view.others.size(), peer::LoadExchange::kMaxTargets);
+  load_exchange_.SetInstances(view.others);
   borrower_.SetInstances(std::move(view.others));
 }
 
+void Gateway::ReportLoad(base::MonoTime now) {
+  context_.placement.OnPeerLoads(peer_loads_.Expire(now));
+  std::vector<scheduling::InstanceLoad> loads = context_.placement.OwnLoads();
+  // An empty report follows the last one, whose requests have ended.
+  if (loads.empty() && !std::exchange(has_reported_load_, false))
+    return;
+  has_reported_load_ = !loads.empty();
+  load_exchange_.Send(std::move(loads));
+}
+
 void Gateway::Tick(base::MonoTime now) {
   const bool was_overloaded = context_.overload.is_overloaded();
   context_.overload.Tick(
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "dandelionmill/gateway/table_follower.h"
 #include "dandelionmill/peer/borrower.h"
 #include "dandelionmill/peer/lending_port.h"
+#include "dandelionmill/peer/load_exchange.h"
 #include "dandelionmill/platform/node_settings.h"
 #include "dandelionmill/platform/store_client.h"
 #include "dandelionmill/prepaid/token_pool.h"
@@ -71,6 +72,8 @@
   // All changes of the registry up to the last call have been read.
   void OnRegistryCurrent();
   void PublishBackendReports(base::MonoTime now);
+  // Reports the load that this instance causes at backend servers.
+  void ReportLoad(base::MonoTime now);
   void Tick(base::MonoTime now);
   void OnShutdownTick(base::MonoTime now);
   // Whether a request is in progress, or may still begin on an open connection.
@@ -95,6 +98,9 @@
   GatewayContext context_;
   peer::LendingPort lending_;
   peer::Borrower borrower_;
+  scheduling::PeerLoads peer_loads_;
+  peer::LoadExchange load_exchange_;
+  bool has_reported_load_ = false;
   BackendReports backend_reports_;
   TableFollower config_follower_;
   TableFollower backend_follower_;
--- a/src/dandelionmill/gateway/placement.cc
+++ b/src/dandelionmill/gateway/placement.cc
@@ -63,9 +63,11 @@
     // The server restarted under the same id: only attempts in progress count.
     const int in_flight = state.in_flight;
     const base::Tokens pending_prefill_tokens = state.pending_prefill_tokens;
+    const scheduling::InstanceLoad peers = state.peers;
     state = PlacementState();
     state.in_flight = in_flight;
     state.pending_prefill_tokens = pending_prefill_tokens;
+    state.peers = peers;
   }
   if (state.service.empty()) {
     state.service = backend.service;
@@ -147,10 +149,29 @@
 
 void Placement::Remove(const base::BackendId& backend) {
   const auto found = states_.find(backend);
-  if (found != states_.end() && found->second.in_flight == 0)
+  if (found != states_.end() && found->second.in_flight == 0 &&
+      found->second.peers.in_flight == 0)
     states_.erase(found);
 }
 
+void Placement::OnPeerLoads(
+    const std::vector<scheduling::PeerLoads::Change>& changes) {
+  for (const scheduling::PeerLoads::Change& change : changes) {
+    scheduling::InstanceLoad& peers = states_[change.backend].peers;
+    peers.in_flight += change.in_flight;
+    peers.pending_prefill_tokens += change.pending_prefill_tokens;
+  }
+}
+
+std::vector<scheduling::InstanceLoad> Placement::OwnLoads() const {
+  std::vector<scheduling::InstanceLoad> loads;
+  for (const auto& [id, state] : states_) {
+    if (state.in_flight > 0 && state.HasEstimate())
+      loads.push_back({id, state.in_flight, state.pending_prefill_tokens});
+  }
+  return loads;
+}
+
 int Placement::InFlight(const base::BackendId& backend) const {
   const auto found = states_.find(backend);
   return found == states_.end() ? 0 : found->second.in_flight;
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -20,6 +20,7 @@
 #include "dandelionmill/gateway/placement_state.h"
 #include "dandelionmill/gateway/request_metadata.h"
 #include "dandelionmill/scheduling/load_estimate.h"
+#include "dandelionmill/scheduling/peer_loads.h"
 
 namespace dandelionmill::gateway {
 
@@ -68,6 +69,8 @@
   bool OnMalformedLoad(const BackendEntry& backend, base::MonoTime now);
   // Bytes arrived from the backend server.
   void OnBytesReceived(const base::BackendId& backend, base::MonoTime now);
+  // What the other instances have in progress has changed.
+  void OnPeerLoads(const std::vector<scheduling::PeerLoads::Change>& changes);
   // The backend server was removed. Does nothing while it has requests in
   // flight.
   void Remove(const base::BackendId& backend);
@@ -78,6 +81,9 @@
       const std::vector<const BackendEntry*>& usable,
       const PlacementRequest& request,
       base::MonoTime now);
+  // What this instance has in progress at each backend server that has sent
+  // a load report with a work time.
+  std::vector<scheduling::InstanceLoad> OwnLoads() const;
   // Requests in flight from this instance.
   int InFlight(const base::BackendId& backend) const;
   BackendLoad LoadOf(const base::BackendId& backend, base::MonoTime now) const;
--- a/src/dandelionmill/gateway/placement_cost.cc
+++ b/src/dandelionmill/gateway/placement_cost.cc
@@ -43,6 +43,7 @@
 
 double PrefillMs(const PlacementCandidate& candidate) {
   return static_cast<double>(candidate.state.pending_prefill_tokens +
+                             candidate.state.peers.pending_prefill_tokens +
                              candidate.uncached) /
          kPrefillTokensPerMs;
 }
@@ -71,7 +72,9 @@
   const PlacementState& state = candidate.state;
   const double freshness = state.LoadFreshness(now);
   const double other_in_flight = freshness * state.other_in_flight;
-  const double in_flight = state.in_flight + other_in_flight;
+  const double in_flight =
+      state.in_flight +
+      std::max<double>(other_in_flight, state.peers.in_flight);
   const double slots = std::max(1, candidate.backend.slots);
   if (!is_model)
     return PlainWaitMs(in_flight, slots);
@@ -87,10 +90,11 @@
                         double objective_ms) {
   const double delay_ms =
       static_cast<double>(candidate.uncached) / kPrefillTokensPerMs;
-  const double others =
-      candidate.load
-          ? candidate.state.in_flight + candidate.load->others
-          : candidate.state.in_flight + candidate.state.other_in_flight;
+  const double others = candidate.load
+                            ? candidate.state.in_flight + candidate.load->others
+                            : candidate.state.in_flight +
+                                  std::max(candidate.state.other_in_flight,
+                                           candidate.state.peers.in_flight);
   return std::min(1.0, late_risk) * others * delay_ms * kLateCost /
          ((1 - kRisklessObjectiveShare) * objective_ms);
 }
--- a/src/dandelionmill/gateway/placement_state.h
+++ b/src/dandelionmill/gateway/placement_state.h
@@ -10,6 +10,7 @@
 #include "dandelionmill/gateway/prompt_cache_estimate.h"
 #include "dandelionmill/gateway/request_metadata.h"
 #include "dandelionmill/scheduling/load_estimate.h"
+#include "dandelionmill/scheduling/peer_loads.h"
 
 namespace dandelionmill::gateway {
 
@@ -37,6 +38,8 @@
   // Uncached prompt tokens sent by this instance whose prefill is not
   // complete.
   base::Tokens pending_prefill_tokens = 0;
+  // The same of the other instances, as they reported it.
+  scheduling::InstanceLoad peers;
   // Requests of other instances, and waiting requests, as of the last load
   // report.
   int other_in_flight = 0;
