--- a/src/dandelionmill/scheduling/load_estimate.cc
+++ b/src/dandelionmill/scheduling/load_estimate.cc
@@ -26,12 +26,16 @@
   mean += (value - mean) / count;
 }
 
-// Weight that is left after `age`. Falls more slowly than an exponential and
-// takes no call of a library function: it is computed for each backend server
-// in each decision.
-double Decay(double age_s, duration<double> memory) {
+// Weight of `reports` against a prior, after `age_s` since the last one: the
+// reports count 1 / (1 + (age / memory)^2) of their number. It takes no call of
+// a library function, as it is computed for each backend server in each
+// decision.
+double Weight(double reports,
+              double prior_reports,
+              double age_s,
+              duration<double> memory) {
   const double share = age_s / memory.count();
-  return 1 / (1 + share * share);
+  return reports / (reports + prior_reports * (1 + share * share));
 }
 
 }  // namespace
@@ -94,17 +98,16 @@
       options.uses_fleet_mean ? fleet.others_per_slot() : 0;
   if (has_report()) {
     const double age_s = duration<double>(now - reported_at_).count();
-    const double load_reports =
-        load_reports_ * Decay(age_s, options.load_memory);
     const double weight =
         std::min(options.max_load_weight,
-                 load_reports / (load_reports + options.load_prior_reports));
+                 Weight(load_reports_, options.load_prior_reports, age_s,
+                        options.load_memory));
     others_per_slot += weight * others_deviation_;
     load.waiting = weight * waiting_;
-    const double work_time_reports =
-        work_time_reports_ * Decay(age_s, options.work_time_memory);
-    load.work_time += (work_time_ - 1) * work_time_reports /
-                      (work_time_reports + options.work_time_prior_reports);
+    load.work_time +=
+        (work_time_ - 1) * Weight(work_time_reports_,
+                                  options.work_time_prior_reports, age_s,
+                                  options.work_time_memory);
   }
   load.others = std::max(0.0, others_per_slot) * load.slots;
   return load;
--- a/src/dandelionmill/scheduling/load_estimate.h
+++ b/src/dandelionmill/scheduling/load_estimate.h
@@ -21,7 +21,7 @@
 struct LoadEstimateOptions {
   // Time constant with which earlier reports lose weight. The load of a server
   // differs from the mean mostly by the prompts that prefer it, which changes
-  // slowly; an instance receives a report in 1 to 8 s.
+  // slowly, and an instance receives a report only every few seconds.
   std::chrono::duration<double> load_memory{15.0};
   // The same for the work time, whose mean changes slowly.
   std::chrono::duration<double> work_time_memory{20.0};
