Merge the estimate of load from reports

Where most of the other instances report what they have in progress, that replaces the estimate of the requests of others: it is some 0.2 s old instead of seconds. The estimate remains for the work time and for instances that hear from few others.

--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -591,6 +591,7 @@
 
 void Gateway::ReportLoad(base::MonoTime now) {
   context_.placement.OnPeerLoads(peer_loads_.Expire(now));
+  context_.placement.SetKnowsPeers(peer_loads_.KnowsMost());
   std::vector<scheduling::InstanceLoad> loads = context_.placement.OwnLoads();
   // An empty report follows the last one, whose requests have ended.
   if (loads.empty() && !std::exchange(has_reported_load_, false))
--- a/src/dandelionmill/gateway/gateway_metrics.h
+++ b/src/dandelionmill/gateway/gateway_metrics.h
@@ -25,6 +25,11 @@
   void OnAttempt(const char* reason);
   // A request was refused so that its retry reaches another instance.
   void OnRedirected();
+  // A backend server was chosen by an estimate of its load: requests of other
+  // instances per 100 slots, and the time that work takes in percent of the
+  // usual time.
+  void OnChosenByEstimate(std::int64_t others_percent,
+                          std::int64_t work_time_percent);
   void OnConfigVersion(std::int64_t version);
   // Sets the gauge of evacuated availability zones.
   void OnEvacuatedZones(std::size_t count);
--- a/src/dandelionmill/gateway/placement.h
+++ b/src/dandelionmill/gateway/placement.h
@@ -71,6 +71,9 @@
   void OnBytesReceived(const base::BackendId& backend, base::MonoTime now);
   // What the other instances have in progress has changed.
   void OnPeerLoads(const std::vector<scheduling::PeerLoads::Change>& changes);
+  // Sets whether most other instances report what they have in progress, which
+  // then replaces the estimate from reports of backend servers.
+  void SetKnowsPeers(bool knows_peers) { knows_peers_ = knows_peers; }
   // The backend server was removed. Does nothing while it has requests in
   // flight.
   void Remove(const base::BackendId& backend);
@@ -99,17 +102,19 @@
   // Returns nullptr if another start of the backend server has been listed
   // since the entry, of which what is observed says nothing.
   PlacementState* FindState(const BackendEntry& backend);
-  // The usable backend servers with their state and, for model engines, the
-  // prompt tokens that need prefill.
   std::vector<PlacementCandidate> ListCandidates(
-      const std::vector<const BackendEntry*>& usable,
-      base::MonoTime now);
+      const std::vector<const BackendEntry*>& usable);
+  // Sets the load and the uncached tokens of `candidate`.
+  void Estimate(const PlacementRequest& request,
+                const SharedPrompt& shared,
+                base::MonoTime now,
+                PlacementCandidate& candidate) const;
   SharedPrompt FindSharedPrompt(
       const std::vector<PlacementCandidate>& candidates,
       const PlacementRequest& request) const;
   // Whether the request stays with the home of its shared prompt or a copy,
-  // since the home's expected wait meets the latency objective.
-  bool KeepsHome(const std::vector<PlacementCandidate>& candidates,
+  // since the expected wait at the home is short enough.
+  bool KeepsHome(std::vector<PlacementCandidate>& candidates,
                  const PlacementRequest& request,
                  const SharedPrompt& shared,
                  base::MonoTime now) const;
@@ -142,6 +147,7 @@
   const PlacementPolicy policy_;
   // Of `policy_`; the default for policies without.
   const LoadReportUse report_use_;
+  bool knows_peers_ = false;
   std::unordered_map<base::BackendId, PlacementState> states_;
   std::map<base::ServiceId, base::Tokens> cache_tokens_;
   std::map<base::ServiceId, scheduling::FleetLoad> fleet_loads_;
--- a/src/dandelionmill/scheduling/load_estimate.cc
+++ b/src/dandelionmill/scheduling/load_estimate.cc
@@ -16,18 +16,26 @@
 // trip between availability zones (16 ms) and some time in the server.
 constexpr std::chrono::milliseconds kReportTransit{25};
 
+// Upper bound of the reported requests per slot, so that a single wrong report
+// does not determine the mean of a service.
+constexpr double kMaxOthersPerSlot = 8;
+
 // Adds `value` to the mean of `count` values, which have lost weight since.
 void AddToMean(double value, double kept, double& mean, double& count) {
   count = count * kept + 1;
   mean += (value - mean) / count;
 }
 
-// Weight that is left after `age`. Falls more slowly than an exponential and
-// takes no call of a library function: it is computed for each backend server
-// in each decision.
-double Decay(double age_s, duration<double> memory) {
+// Weight of `reports` against a prior, after `age_s` since the last one: the
+// reports count 1 / (1 + (age / memory)^2) of their number. It takes no call of
+// a library function, as it is computed for each backend server in each
+// decision.
+double Weight(double reports,
+              double prior_reports,
+              double age_s,
+              duration<double> memory) {
   const double share = age_s / memory.count();
-  return 1 / (1 + share * share);
+  return reports / (reports + prior_reports * (1 + share * share));
 }
 
 }  // namespace
@@ -61,8 +69,9 @@
   const int own =
       own_in_flight - (options.corrects_own ? CountSentInTransit(now) : 0);
   const double slots = std::max(1, report.slots);
+  const double others = report.running + report.waiting - std::max(0, own);
   const double others_per_slot =
-      std::max(0, report.running + report.waiting - std::max(0, own)) / slots;
+      std::clamp(others / slots, 0.0, kMaxOthersPerSlot);
   fleet.Add(others_per_slot, now);
   const double deviation =
       others_per_slot - (options.uses_fleet_mean ? fleet.others_per_slot() : 0);
@@ -72,7 +81,7 @@
   };
   AddToMean(deviation, kept(options.load_memory), others_deviation_,
             load_reports_);
-  waiting_ = report.waiting;
+  waiting_ = std::min<double>(report.waiting, kMaxOthersPerSlot * slots);
   AddToMean(std::clamp(report.work_time, kMinWorkTime, kMaxWorkTime),
             kept(options.work_time_memory), work_time_, work_time_reports_);
   slots_ = report.slots;
@@ -89,17 +98,16 @@
       options.uses_fleet_mean ? fleet.others_per_slot() : 0;
   if (has_report()) {
     const double age_s = duration<double>(now - reported_at_).count();
-    const double load_reports =
-        load_reports_ * Decay(age_s, options.load_memory);
     const double weight =
         std::min(options.max_load_weight,
-                 load_reports / (load_reports + options.load_prior_reports));
+                 Weight(load_reports_, options.load_prior_reports, age_s,
+                        options.load_memory));
     others_per_slot += weight * others_deviation_;
     load.waiting = weight * waiting_;
-    const double work_time_reports =
-        work_time_reports_ * Decay(age_s, options.work_time_memory);
-    load.work_time += (work_time_ - 1) * work_time_reports /
-                      (work_time_reports + options.work_time_prior_reports);
+    load.work_time +=
+        (work_time_ - 1) * Weight(work_time_reports_,
+                                  options.work_time_prior_reports, age_s,
+                                  options.work_time_memory);
   }
   load.others = std::max(0.0, others_per_slot) * load.slots;
   return load;
--- a/src/dandelionmill/scheduling/peer_loads.cc
+++ b/src/dandelionmill/scheduling/peer_loads.cc
@@ -19,6 +19,7 @@
 
 void PeerLoads::SetInstances(std::size_t instances,
                              std::size_t reports_per_interval) {
+  instances_ = instances;
   const double intervals =
       std::max(1.0, static_cast<double>(instances) /
                         static_cast<double>(reports_per_interval));
--- a/src/dandelionmill/scheduling/peer_loads.h
+++ b/src/dandelionmill/scheduling/peer_loads.h
@@ -39,8 +39,8 @@
     base::Tokens pending_prefill_tokens = 0;
   };
 
-  // `reports_per_interval` is the number of instances that one is sent to, of
-  // `instances`: in a larger fleet the reports of each come less often.
+  // Sets the number of other instances, and the number that one sends its
+  // reports to in an interval: in a larger fleet they come less often.
   void SetInstances(std::size_t instances, std::size_t reports_per_interval);
   // Commands. Each returns the changes of the sums.
   // `process` is a process of an instance, and `number` that of its report: one
@@ -52,9 +52,13 @@
   // Removes the instances whose last report is too old.
   std::vector<Change> Expire(base::MonoTime now);
 
-  // Query.
+  // Queries.
   // Instances that count.
   std::size_t instance_count() const { return reports_.size(); }
+  // Whether more than half of the other instances count.
+  bool KnowsMost() const {
+    return instances_ > 0 && 2 * reports_.size() > instances_;
+  }
 
  private:
   struct Report {
@@ -63,6 +67,7 @@
     base::MonoTime received_at{};
   };
 
+  std::size_t instances_ = 0;
   std::chrono::milliseconds validity_ = 3 * kReportInterval;
   std::map<std::string, Report> reports_;
 };
