--- a/tests/processes/support/processes.h
+++ b/tests/processes/support/processes.h
@@ -716,6 +716,7 @@
         ip_(std::move(ip)),
         port_(port),
         ready_port_(ready_port),
+        peer_port_(peer_port),
         folder_(std::move(folder)) {
     settings_ = folder_ + "/" + name_ + ".conf";
     std::ofstream(settings_)
@@ -739,10 +740,21 @@
     Wait(milliseconds(5000));
   }
 
+  // Replaces a value in the settings file. Call before Start.
+  void Set(const std::string& key, const std::string& value) {
+    std::ifstream in(settings_);
+    std::string text;
+    for (std::string line; std::getline(in, line);)
+      text += (line.rfind(key + "=", 0) == 0 ? key + "=" + value : line) + "\n";
+    in.close();
+    std::ofstream(settings_) << text;
+  }
+  std::string LogPath() const {
+    return folder_ + "/" + name_ + "." + std::to_string(boot_) + ".log";
+  }
   void Start() {
     ++boot_;
-    const std::string log =
-        folder_ + "/" + name_ + "." + std::to_string(boot_) + ".log";
+    const std::string log = LogPath();
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, 1, log.c_str(),
@@ -812,6 +824,10 @@
   const std::string& name() const { return name_; }
   const std::string& ip() const { return ip_; }
   int port() const { return port_; }
+  // Where it serves other instances.
+  int peer_port() const { return peer_port_; }
+  // -1 once the end of the process was noticed.
+  pid_t pid() const { return pid_; }
   int last_status = 0;
 
  private:
@@ -819,6 +835,7 @@
   const std::string ip_;
   const int port_;
   const int ready_port_;
+  const int peer_port_;
   const std::string folder_;
   std::string settings_;
   pid_t pid_ = -1;
