Bound the memory and descriptors that callers can take

Cause: CallerSession::buffer_ had no bound while a body was received, as Beast's parser takes a chunk header or trailer only as a whole; nothing counted bodies, buffered input and responses together; a response that had been spilled, and the last one written, kept their memory; nothing bounded open connections, and a failed accept was repeated at once.

Change: - MemoryBudget (pure) and MemoryAccount: what caller sessions and relays hold, limited to memory_percent (default 40) of limits.memoryMb. Over it, the newest unfinished body is refused (503, not run) or the slowest reader is closed. - BodyProgress (pure): framing beyond maxHeaderBytes plus 16 bytes for each byte of the body: 431; less than 1,024 bytes of body in 5 s: 408, beside the 10 s for the whole body. - DescriptorShares (pure): half of the descriptors above 200 for callers, an eighth for relays.

--- a/src/dandelionmill/gateway/caller_session.h
+++ b/src/dandelionmill/gateway/caller_session.h
@@ -11,14 +11,17 @@
 #include <optional>
 #include <string>
 
+#include "dandelionmill/gateway/body_progress.h"
 #include "dandelionmill/gateway/exchange.h"
+#include "dandelionmill/gateway/memory_account.h"
 
 namespace dandelionmill::gateway {
 
 // One HTTP/1.1 connection of a caller. Parses requests strictly, handles one at
 // a time and writes the responses in order. Must be owned by a shared_ptr.
 class CallerSession : public std::enable_shared_from_this<CallerSession>,
-                      private ResponseWriter {
+                      private ResponseWriter,
+                      private MemoryAccount::Holder {
  public:
   // `on_closed` runs once, when the connection is closed.
   CallerSession(GatewayContext& context,
@@ -34,6 +37,23 @@
   // Fails the request in progress or refuses the one that has begun to arrive,
   // and closes the connection once the response is written.
   void Shutdown();
+  // Closes the connection so that another one can be accepted; refuses the
+  // request that has begun to arrive.
+  void MakeWay();
+
+  // Queries.
+  // Whether no request is in progress or has begun to arrive.
+  bool IsIdle() const;
+  // Whether a request has begun to arrive and is not complete.
+  bool IsReceiving() const;
+  // Whether a refusal was written and the connection is about to close.
+  bool is_ending() const { return close_when_written_; }
+  // When the connection became idle, or the request began to arrive.
+  base::MonoTime since() const {
+    return has_request_started_ ? request_began_at_ : idle_since_;
+  }
+  // Whether bytes of the caller have arrived that were not read yet.
+  bool HasUnreadBytes();
 
  private:
   using Parser =
@@ -44,24 +64,40 @@
   void EndResponse(bool keep_connection) override;
   void Abort() override;
   std::size_t queued_bytes() const override {
-    return queued_.size() + writing_.size();
+    return queued_.size() + writing_.size() - written_;
   }
+  void OnResponseBuffered(std::size_t bytes) override;
 
   bool HasCallerLeft() override;
 
-  // Whether bytes of the caller have arrived that were not read yet.
-  bool HasUnreadBytes();
+  // MemoryAccount::Holder:
+  void OnMemoryExceeded(MemoryBudget::Use use) override;
+
   void PrepareNextRequest();
   void Receive();
   void OnReceived(boost::system::error_code error, std::size_t count);
   void Parse();
   void OnRequest();
-  // Responds to a request that cannot be parsed and closes the connection.
-  void Reject(const Refusal& refusal);
+  // Refuses the request if its framing is too long; returns whether it was not.
+  // `incomplete_framing_bytes` of an incomplete chunk header or trailer follow
+  // those that were consumed.
+  bool CheckBody(std::size_t consumed_bytes,
+                 std::size_t incomplete_framing_bytes);
+  // Responds to a request that is not complete and closes the connection.
+  // `kind` is for metrics and logs.
+  void Reject(const char* kind, const Refusal& refusal);
+  // Closes the connection for `kind` of limit.
+  void CloseForLimit(const char* kind);
   void OnTimeout();
+  void OnBodyTimeout(base::MonoTime now);
   void ArmTimeout(std::chrono::milliseconds timeout);
   void Write();
-  void OnWritten(boost::system::error_code error);
+  void WriteSome();
+  void OnWritten(boost::system::error_code error, std::size_t count);
+  // Waits until the caller closes the connection, so that it can read the last
+  // response: closing a connection with unread input resets it.
+  void CloseAfterInput();
+  void UpdateMemory();
   void Close();
 
   GatewayContext& context_;
@@ -70,7 +106,15 @@
   boost::asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  std::optional<BodyProgress> body_progress_;
+  // Bytes that were received since the head, framing included.
+  std::size_t framed_bytes_ = 0;
   CallerLimits limits_;
+  MemoryBudget::Id memory_id_;
+  base::MonoTime request_began_at_{};
+  // Of the request in progress, and what is buffered of its response.
+  std::size_t request_bytes_ = 0;
+  std::size_t response_bytes_ = 0;
   // When the connection became ready for the next request.
   base::MonoTime idle_since_{};
   bool has_request_started_ = false;
@@ -78,7 +122,14 @@
   std::shared_ptr<Exchange> exchange_;
   std::string queued_;
   std::string writing_;
+  // Bytes of writing_ that the socket has taken, and when it last took some.
+  std::size_t written_ = 0;
+  base::MonoTime written_at_{};
   bool is_writing_ = false;
+  // The next request is parsed once the responses are written.
+  bool is_next_deferred_ = false;
+  // Of input that arrived after a refusal.
+  std::size_t discarded_bytes_ = 0;
   bool is_receiving_ = false;
   bool close_when_written_ = false;
   bool is_closed_ = false;
--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -38,6 +38,8 @@
   virtual void Abort() = 0;
   // Bytes that are not written to the socket yet.
   virtual std::size_t queued_bytes() const = 0;
+  // `bytes` of the response are buffered and not sent yet.
+  virtual void OnResponseBuffered(std::size_t bytes) = 0;
   // Whether the caller has closed the connection, also if that was not read
   // yet.
   virtual bool HasCallerLeft() = 0;
--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -60,13 +60,15 @@
       process_id_(settings.instance.value() + "/" + base::RandomToken(8)),
       store_(loop, settings.store),
       token_pool_(loop, store_, settings.instance.value(), process_id_),
-      context_(loop,
-               token_pool_,
-               store_,
-               settings.zone,
-               RetryLimits(settings),
-               settings.link_bits_per_s,
-               options.placement),
+      context_(
+          loop,
+          token_pool_,
+          store_,
+          settings.zone,
+          RetryLimits(settings),
+          settings.link_bits_per_s,
+          MemoryBudget::LimitBytes(settings.memory_mb, options.memory_percent),
+          options.placement),
       lending_(
           loop,
           [this](const peer::LendingPort::LoanRequest& request,
@@ -156,10 +158,11 @@
                 token_pool_.settled_era()};
           },
           [this](FleetMembers::View view) { OnInstances(std::move(view)); }),
-      relay_server_(context_),
+      descriptors_(settings.max_file_descriptors),
+      relay_server_(context_, descriptors_.max_relays),
       readiness_(loop),
       metrics_(loop),
-      acceptor_(loop),
+      acceptor_(loop, "callers"),
       timers_(loop) {}
 
 Gateway::~Gateway() = default;
@@ -177,7 +180,10 @@
   metrics_.AddPage("/dump", [this] {
     return StatusServer::Page{200, "application/json", Dump()};
   });
-  base::Status status = Listen(acceptor_, settings_.frontend_address);
+  base::Status status = acceptor_.Listen(
+      settings_.frontend_address,
+      [this](tcp::socket socket) { OnAccepted(std::move(socket)); },
+      [this] { CloseOneCaller(); });
   if (base::IsOk(status))
     status = readiness_.Listen(settings_.readiness);
   if (base::IsOk(status) && options_.metrics_port != 0)
@@ -208,8 +214,10 @@
       .With("process", process_id_)
       .With("zone", settings_.zone)
       .With("callers", net::ToString(settings_.frontend_address))
-      .With("store", net::ToString(settings_.store));
-  Accept();
+      .With("store", net::ToString(settings_.store))
+      .With("memory_limit_bytes", context_.memory.budget().limit())
+      .With("max_caller_connections", descriptors_.max_callers)
+      .With("max_relayed_connections", descriptors_.max_relays);
   config_follower_.Start();
   backend_follower_.Start();
   context_.version_records.Start();
@@ -235,23 +243,44 @@
   return status;
 }
 
-void Gateway::Accept() {
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted)
-      return;
-    if (error) {
-      log::Event(log::Level::kWarning, "accept_failed")
-          .With("reason", error.message());
-    } else {
-      auto session = std::make_shared<CallerSession>(
-          context_, std::move(socket),
-          [this](CallerSession* closed) { sessions_.erase(closed); });
-      sessions_[session.get()] = session;
-      session->Start();
+void Gateway::OnAccepted(tcp::socket socket) {
+  if (sessions_.size() >= descriptors_.max_callers && !CloseOneCaller()) {
+    // Every connection has a request in progress. Closing the new one, on which
+    // none was read, leaves it to the balancer to find another instance.
+    context_.metrics.OnLimitApplied("connections");
+    return;
+  }
+  auto session = std::make_shared<CallerSession>(
+      context_, std::move(socket),
+      [this](CallerSession* closed) { sessions_.erase(closed); });
+  sessions_[session.get()] = session;
+  session->Start();
+}
+
+bool Gateway::CloseOneCaller() {
+  CallerSession* ending = nullptr;
+  CallerSession* idle = nullptr;
+  CallerSession* receiving = nullptr;
+  for (const auto& [key, session] : sessions_) {
+    if (session->is_ending()) {
+      ending = key;
+    } else if (session->IsIdle()) {
+      const bool is_longer =
+          idle == nullptr || session->since() < idle->since();
+      if (is_longer && !session->HasUnreadBytes())
+        idle = key;
+    } else if (session->IsReceiving() &&
+               (receiving == nullptr ||
+                session->since() > receiving->since())) {
+      receiving = key;
     }
-    if (acceptor_.is_open())
-      Accept();
-  });
+  }
+  CallerSession* chosen = ending != nullptr ? ending
+                          : idle != nullptr ? idle
+                                            : receiving;
+  if (chosen != nullptr)
+    chosen->MakeWay();
+  return chosen != nullptr;
 }
 
 void Gateway::OnConfigRow(const storage::VersionedRow& row) {
@@ -474,6 +503,13 @@
                           context_.directory.size(), context_.pool.idle_count(),
                           context_.instance_count, age(config_follower_),
                           age(backend_follower_));
+  const MemoryBudget& memory = context_.memory.budget();
+  context_.metrics.OnHeldBytes("receiving",
+                               memory.bytes(MemoryBudget::Use::kReceiving));
+  context_.metrics.OnHeldBytes("sending",
+                               memory.bytes(MemoryBudget::Use::kSending));
+  context_.metrics.OnHeldBytes("other",
+                               memory.bytes(MemoryBudget::Use::kOther));
   if (context_.is_shutting_down)
     OnShutdownTick(now);
 }
@@ -533,8 +569,7 @@
 void Gateway::ReturnTokensAndDeregister() {
   is_returning_tokens_ = true;
   context_.shutdown_window = ShutdownWindow::Closed();
-  error_code ignored;
-  acceptor_.close(ignored);
+  acceptor_.Stop();
   token_pool_.ReturnAll([this] {
     fleet_members_.Deregister([this] {
       is_deregistered_ = true;
@@ -588,6 +623,8 @@
       {"instances", context_.instance_count},
       {"open_requests", context_.open_exchange_count},
       {"caller_connections", sessions_.size()},
+      {"held_bytes", context_.memory.budget().bytes()},
+      {"held_bytes_limit", context_.memory.budget().limit()},
       {"backends", nlohmann::json::array()},
       {"prepaid", nlohmann::json::object()}};
   if (context_.config) {
--- a/src/dandelionmill/gateway/gateway.h
+++ b/src/dandelionmill/gateway/gateway.h
@@ -8,8 +8,10 @@
 #include <memory>
 #include <string>
 
+#include "dandelionmill/gateway/accept_loop.h"
 #include "dandelionmill/gateway/backend_reports.h"
 #include "dandelionmill/gateway/caller_session.h"
+#include "dandelionmill/gateway/descriptor_shares.h"
 #include "dandelionmill/gateway/fleet_members.h"
 #include "dandelionmill/gateway/gateway_context.h"
 #include "dandelionmill/gateway/relay_server.h"
@@ -32,6 +34,8 @@
   struct Options {
     // Port of the metrics endpoint; 0 for none.
     int metrics_port = 0;
+    // Share of the machine's memory that connections may hold.
+    int memory_percent = 40;
     PlacementPolicy placement = ByCost();
     // Returns LoopRunner::backlog_share of the loop; null if it is not
     // measured.
@@ -55,7 +59,11 @@
   void Reload(const platform::NodeSettings& settings);
 
  private:
-  void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
+  // Closes the caller's connection that matters least: one that is about to
+  // close, the longest idle or the newest unfinished one. Returns whether there
+  // was one.
+  bool CloseOneCaller();
   void OnConfigRow(const storage::VersionedRow& row);
   void OnBackendRow(const storage::VersionedRow& row);
   void OnBackendRows(const std::vector<storage::VersionedRow>& rows);
@@ -100,10 +108,11 @@
   TableFollower backend_follower_;
   TableFollower crash_follower_;
   FleetMembers fleet_members_;
+  const DescriptorShares descriptors_;
   RelayServer relay_server_;
   StatusServer readiness_;
   StatusServer metrics_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  AcceptLoop acceptor_;
   std::map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   timer::LoopTimerService timers_;
   // What ReportStoreUse reported last.
--- a/src/dandelionmill/gateway/gateway_context.h
+++ b/src/dandelionmill/gateway/gateway_context.h
@@ -15,6 +15,8 @@
 #include "dandelionmill/gateway/crash_guard.h"
 #include "dandelionmill/gateway/fleet_config.h"
 #include "dandelionmill/gateway/gateway_metrics.h"
+#include "dandelionmill/gateway/limit_log.h"
+#include "dandelionmill/gateway/memory_account.h"
 #include "dandelionmill/gateway/overload_detector.h"
 #include "dandelionmill/gateway/placement.h"
 #include "dandelionmill/gateway/request_limits.h"
@@ -38,12 +40,14 @@
                  base::ZoneId own_zone,
                  RetryAllowance::Limits limits,
                  double link_bits_per_s,
+                 std::size_t memory_limit_bytes,
                  PlacementPolicy policy)
       : loop(event_loop),
         token_pool(prepaid_token_pool),
         zone(std::move(own_zone)),
         retry_limits(limits),
         overload(link_bits_per_s),
+        memory(event_loop, memory_limit_bytes),
         pool(event_loop),
         random(std::random_device{}()),
         placement(random(), policy),
@@ -84,6 +88,8 @@
   const base::ZoneId zone;
   const RetryAllowance::Limits retry_limits;
   OverloadDetector overload;
+  MemoryAccount memory;
+  LimitLog limit_log;
   // nullptr until the first configuration has been read.
   FleetConfigPtr config;
   // Whether `config` is the newest one.
--- a/src/dandelionmill/gateway/gateway_main.cc
+++ b/src/dandelionmill/gateway/gateway_main.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -15,6 +17,11 @@
 
 constexpr int kExitFailed = 1;
 
+// Larger blocks are returned to the system as soon as they are freed. The
+// allocator's default grows with the blocks that are freed, and then keeps the
+// memory of bodies and responses that were dropped.
+constexpr int kReturnedBlockBytes = 128 << 10;
+
 // The platform may change its settings file without sending SIGHUP.
 constexpr std::chrono::milliseconds kSettingsPollInterval{5000};
 
@@ -62,6 +69,7 @@
   Gateway gateway(
       loop, base::ValueOf(settings),
       {static_cast<int>(startup.values.Integer("metrics_port")),
+       static_cast<int>(startup.values.Integer("memory_percent")),
        base::ValueOf(placement), [&runner] { return runner.backlog_share(); }});
   const base::Status status = gateway.Start();
   if (!base::IsOk(status)) {
@@ -88,6 +96,7 @@
 }  // namespace dandelionmill::gateway
 
 int main(int argc, char** argv) {
+  mallopt(M_MMAP_THRESHOLD, dandelionmill::gateway::kReturnedBlockBytes);
   const auto startup = dandelionmill::settings::ParseDaemonCommandLine(
       argc, argv, "dandelion-gateway",
       "forwards callers' requests to backend servers on the users' platform",
--- a/src/dandelionmill/gateway/gateway_metrics.cc
+++ b/src/dandelionmill/gateway/gateway_metrics.cc
@@ -71,6 +71,23 @@
       .Add(static_cast<std::int64_t>(bytes));
 }
 
+void GatewayMetrics::OnLimitApplied(const char* kind) {
+  registry_
+      .GetCounter("dandelion_limits_applied_total",
+                  "Requests refused or connections closed for a limit, by kind "
+                  "of limit.",
+                  std::string("kind=\"") + kind + "\"")
+      .Add();
+}
+
+void GatewayMetrics::OnHeldBytes(const char* use, std::size_t bytes) {
+  registry_
+      .GetGauge("dandelion_held_bytes",
+                "Bytes that connections hold in memory, by use.",
+                std::string("use=\"") + use + "\"")
+      .Set(static_cast<std::int64_t>(bytes));
+}
+
 void GatewayMetrics::OnConfigVersion(std::int64_t version) {
   registry_
       .GetGauge("dandelion_config_version",
--- a/src/dandelionmill/gateway/gateway_metrics.h
+++ b/src/dandelionmill/gateway/gateway_metrics.h
@@ -24,6 +24,11 @@
   // A request was sent to a backend server. `reason` is "first" or "again".
   void OnAttempt(const char* reason);
   void OnConfigVersion(std::int64_t version);
+  // A request was refused or a connection closed for a limit of callers or of
+  // the instance's memory or descriptors.
+  void OnLimitApplied(const char* kind);
+  // Sets the gauge of the bytes that connections hold for `use`.
+  void OnHeldBytes(const char* use, std::size_t bytes);
   // Sets the gauges. `config_age` and `registry_age` are the times since the
   // store last answered about the configuration and the registry.
   void OnTick(int open_exchanges,
--- a/src/dandelionmill/gateway/internal/exchange_answers.cc
+++ b/src/dandelionmill/gateway/internal/exchange_answers.cc
@@ -30,6 +30,9 @@
 // paused.
 constexpr std::size_t kMaxQueuedBytes = 256 << 10;
 
+// Both limits while little is left of the instance's memory budget.
+constexpr std::size_t kTightBytes = 64 << 10;
+
 // Returns whether both ids are numbers and `id` is not above `last_sent`.
 bool IsAlreadySent(const std::string& id, const std::string& last_sent) {
   std::uint64_t a = 0;
@@ -78,9 +81,14 @@
     return;
   }
   response_body_.append(bytes);
-  if (response_body_.size() <= kMaxBufferedBytes)
-    return;
   const bool is_success = response_status_ >= 200 && response_status_ < 300;
+  const bool is_tight = is_success && !response_metadata_.not_executed &&
+                        event_count_ == 0 &&
+                        context_.memory.budget().is_tight();
+  if (response_body_.size() <= (is_tight ? kTightBytes : kMaxBufferedBytes)) {
+    response_writer_->OnResponseBuffered(response_body_.capacity());
+    return;
+  }
   // Such a body is never relayed after events.
   if (!is_success || response_metadata_.not_executed || event_count_ > 0) {
     OnBroken("the response exceeds the size limit");
@@ -89,7 +97,9 @@
   if (!is_head_sent_)
     SendHead(true, 0);
   SendChunk(response_body_);
-  response_body_.clear();
+  // Releases the memory, which clear() does not.
+  response_body_ = std::string();
+  response_writer_->OnResponseBuffered(0);
   PauseIfQueueIsLong();
 }
 
@@ -99,6 +109,7 @@
     OnBroken("an event exceeds the size limit");
     return;
   }
+  response_writer_->OnResponseBuffered(framer_.unfinished_bytes());
   if (events.empty())
     return;
   const base::MonoTime now = steady_clock::now();
@@ -148,7 +159,9 @@
 }
 
 void Exchange::PauseIfQueueIsLong() {
-  if (response_writer_->queued_bytes() > kMaxQueuedBytes && call_) {
+  const std::size_t limit =
+      context_.memory.budget().is_tight() ? kTightBytes : kMaxQueuedBytes;
+  if (response_writer_->queued_bytes() > limit && call_) {
     call_->Pause();
     if (!paused_at_)
       paused_at_ = base::BootClock::now();
--- a/src/dandelionmill/gateway/relay_server.h
+++ b/src/dandelionmill/gateway/relay_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "dandelionmill/base/result.h"
+#include "dandelionmill/gateway/accept_loop.h"
 #include "dandelionmill/gateway/gateway_context.h"
 #include "dandelionmill/net/address.h"
 
@@ -20,8 +21,9 @@
 // to which it would send no request itself.
 class RelayServer {
  public:
-  // `context` must outlive the server.
-  explicit RelayServer(GatewayContext& context);
+  // `context` must outlive the server. At most `max_sessions` connections are
+  // relayed at once.
+  RelayServer(GatewayContext& context, std::size_t max_sessions);
   ~RelayServer();
 
   // Commands.
@@ -35,10 +37,11 @@
   std::size_t open_count() const { return sessions_.size(); }
 
  private:
-  void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
 
   GatewayContext& context_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  const std::size_t max_sessions_;
+  AcceptLoop acceptor_;
   std::map<RelaySession*, std::shared_ptr<RelaySession>> sessions_;
 };
 
--- a/src/dandelionmill/gateway/relay_session.cc
+++ b/src/dandelionmill/gateway/relay_session.cc
@@ -33,6 +33,7 @@
                            asio::ip::tcp::socket socket,
                            std::function<void(RelaySession*)> on_ended)
     : context_(context),
+      memory_id_(context.memory.Add(*this)),
       socket_(std::move(socket)),
       on_ended_(std::move(on_ended)),
       timer_(context.loop),
@@ -40,6 +41,9 @@
 
 void RelaySession::Start() {
   SetSocketOptions(socket_);
+  // Both directions, and the head of the response at its usual size.
+  context_.memory.Set(memory_id_, MemoryBudget::Use::kOther,
+                      sizeof(RelaySession) + kBufferBytes, accepted_at_);
   request_parser_.emplace();
   request_parser_->header_limit(kMaxRequestBytes);
   timer_.expires_after(kRequestTimeout);
@@ -91,6 +95,7 @@
     return RelayStatus::kBackendNotUsable;
   const char* reason = context_.is_shutting_down           ? "shutting down"
                        : context_.overload.is_overloaded() ? "overloaded"
+                       : context_.memory.budget().is_exceeded() ? "memory"
                        : context_.connector.IsPartitioned(entry->service)
                            ? "partitioned"
                            : nullptr;
@@ -237,6 +242,7 @@
     return;
   const base::MonoTime now = steady_clock::now();
   timer_.cancel();
+  context_.memory.Remove(memory_id_);
   if (backend_)
     context_.backoff.OnEnded(backend_->id, accepted_at_);
   log::Event(log::Level::kInfo, "relay_ended")
--- a/src/dandelionmill/gateway/relay_session.h
+++ b/src/dandelionmill/gateway/relay_session.h
@@ -23,7 +23,8 @@
 // Relays one connection of another instance to a backend server. Takes note of
 // what the response says about the backend server, since this instance must
 // respect it as well. Must be owned by a shared_ptr.
-class RelaySession : public std::enable_shared_from_this<RelaySession> {
+class RelaySession : public std::enable_shared_from_this<RelaySession>,
+                     private MemoryAccount::Holder {
  public:
   // `on_ended` runs once, when both connections are closed.
   RelaySession(GatewayContext& context,
@@ -46,6 +47,9 @@
     std::uint64_t relayed_bytes = 0;
   };
 
+  // MemoryAccount::Holder. A relayed connection is never dropped.
+  void OnMemoryExceeded(MemoryBudget::Use) override {}
+
   void OnRequest(boost::system::error_code error);
   // Returns kConnected if this instance would send the request itself.
   RelayStatus Admit(const RelayRequest& request);
@@ -59,6 +63,7 @@
   void End(bool is_broken, const char* reason);
 
   GatewayContext& context_;
+  const MemoryBudget::Id memory_id_;
   boost::asio::ip::tcp::socket socket_;
   std::function<void(RelaySession*)> on_ended_;
   boost::asio::steady_timer timer_;
--- a/src/dandelionmill/gateway/status_server.cc
+++ b/src/dandelionmill/gateway/status_server.cc
@@ -14,38 +14,23 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-// Connections that may wait to be accepted when many callers connect at once.
-constexpr int kListenBacklog = 1024;
-
 constexpr std::chrono::seconds kSessionTimeout{10};
 
-}  // namespace
+// Open connections; the oldest is closed for another one.
+constexpr std::size_t kMaxSessions = 32;
 
-base::Status Listen(tcp::acceptor& acceptor, const net::Address& address) {
-  error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(address.host, error),
-                               static_cast<unsigned short>(address.port));
-  if (!error)
-    acceptor.open(endpoint.protocol(), error);
-  if (!error)
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error)
-    acceptor.bind(endpoint, error);
-  if (!error)
-    acceptor.listen(kListenBacklog, error);
-  if (error) {
-    return base::Error{
-        base::Code::kBadSetting,
-        net::ToString(address) + ": cannot listen: " + error.message()};
-  }
-  return base::Unit{};
-}
+// Largest request, trailers included: the parser has no limit for them.
+constexpr std::size_t kMaxRequestBytes = 16384;
+
+}  // namespace
 
 class StatusServer::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(const StatusServer& server, tcp::socket socket)
       : server_(server), stream_(std::move(socket)) {}
 
+  void Close() { stream_.close(); }
+
   void Read() {
     request_ = {};
     stream_.expires_after(kSessionTimeout);
@@ -77,7 +62,7 @@
 
   const StatusServer& server_;
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxRequestBytes};
   http::request<http::string_body> request_;
   http::response<http::string_body> response_;
 };
@@ -87,25 +72,24 @@
 }
 
 base::Status StatusServer::Listen(const net::Address& address) {
-  base::Status status = gateway::Listen(acceptor_, address);
-  if (base::IsOk(status))
-    Accept();
-  return status;
+  return acceptor_.Listen(
+      address, [this](tcp::socket socket) { OnAccepted(std::move(socket)); });
 }
 
 void StatusServer::Stop() {
-  error_code ignored;
-  acceptor_.close(ignored);
+  acceptor_.Stop();
 }
 
-void StatusServer::Accept() {
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted)
-      return;
-    if (!error)
-      std::make_shared<Session>(*this, std::move(socket))->Read();
-    Accept();
-  });
+void StatusServer::OnAccepted(tcp::socket socket) {
+  sessions_.remove_if([](const auto& session) { return session.expired(); });
+  if (sessions_.size() >= kMaxSessions) {
+    if (const auto oldest = sessions_.front().lock())
+      oldest->Close();
+    sessions_.pop_front();
+  }
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.push_back(session);
+  session->Read();
 }
 
 StatusServer::Page StatusServer::RenderPage(const std::string& target) const {
--- a/src/dandelionmill/gateway/status_server.h
+++ b/src/dandelionmill/gateway/status_server.h
@@ -4,10 +4,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <list>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "dandelionmill/base/result.h"
+#include "dandelionmill/gateway/accept_loop.h"
 #include "dandelionmill/net/address.h"
 
 namespace dandelionmill::gateway {
@@ -24,7 +27,8 @@
   using PageHandler = std::function<Page()>;
 
   // `loop` must outlive the server.
-  explicit StatusServer(boost::asio::io_context& loop) : acceptor_(loop) {}
+  explicit StatusServer(boost::asio::io_context& loop)
+      : acceptor_(loop, "status") {}
 
   // Serves the page that `handler` returns at `path`; the query is ignored.
   void AddPage(const std::string& path, PageHandler handler);
@@ -35,18 +39,15 @@
  private:
   class Session;
 
-  void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
   Page RenderPage(const std::string& target) const;
 
-  boost::asio::ip::tcp::acceptor acceptor_;
+  AcceptLoop acceptor_;
   std::map<std::string, PageHandler> pages_;
+  // Oldest first.
+  std::list<std::weak_ptr<Session>> sessions_;
 };
 
-// Binds `acceptor` to `address` and listens. Fails with kBadSetting naming the
-// address.
-base::Status Listen(boost::asio::ip::tcp::acceptor& acceptor,
-                    const net::Address& address);
-
 }  // namespace dandelionmill::gateway
 
 #endif  // SRC_DANDELIONMILL_GATEWAY_STATUS_SERVER_H_
