--- a/src/dandelionmill/gateway/caller_session.cc
+++ b/src/dandelionmill/gateway/caller_session.cc
@@ -110,8 +110,6 @@
   parser_->body_limit(limits_.max_body_bytes);
   body_progress_.reset();
   framed_bytes_ = 0;
-  if (buffer_.size() == 0 && buffer_.capacity() > kReadBytes)
-    buffer_.shrink_to_fit();
   idle_since_ = std::chrono::steady_clock::now();
   has_request_started_ = false;
   continue_sent_ = false;
@@ -124,6 +122,8 @@
 }
 
 void CallerSession::Receive() {
+  if (buffer_.size() == 0 && buffer_.capacity() > kReadBytes)
+    buffer_.shrink_to_fit();
   is_receiving_ = true;
   socket_.async_read_some(
       buffer_.prepare(kReadBytes),
@@ -292,8 +292,7 @@
 }
 
 bool CallerSession::IsReceiving() const {
-  return !exchange_ && has_request_started_ && !close_when_written_ &&
-         !is_next_deferred_;
+  return !exchange_ && has_request_started_ && !close_when_written_;
 }
 
 void CallerSession::OnResponseBuffered(std::size_t bytes) {
@@ -447,6 +446,7 @@
     self->request_bytes_ = self->response_bytes_ = 0;
     if (keep_connection && self->queued_bytes() > kMaxUnwrittenBytes) {
       self->is_next_deferred_ = true;
+      self->has_request_started_ = false;
       self->ArmTimeout(self->limits_.idle_timeout);
       self->UpdateMemory();
       return;
--- a/src/dandelionmill/gateway/connection_pool.h
+++ b/src/dandelionmill/gateway/connection_pool.h
@@ -22,10 +22,15 @@
 
 // A connection to one backend server process.
 struct BackendConnection {
+  // Largest size of the buffer: the largest response head, or a chunk header or
+  // trailer of that size, and what is read beyond it. The parser has no limit
+  // for chunk headers and trailers.
+  static constexpr std::size_t kMaxBufferBytes = 128 << 10;
+
   explicit BackendConnection(boost::asio::io_context& loop) : socket(loop) {}
 
   boost::asio::ip::tcp::socket socket;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxBufferBytes};
   // When it was established.
   base::BootTime opened_at{};
   // The incarnation of the backend server that was listed then.
--- a/src/dandelionmill/platform/store_client.cc
+++ b/src/dandelionmill/platform/store_client.cc
@@ -28,6 +28,11 @@
 // before it is encoded.
 constexpr std::size_t kMaxResponseBytes = 8 << 20;
 
+// Largest size of a connection's buffer: one read. Bodies do not stay in it,
+// but the parser takes a chunk header or a trailer only as a whole, without
+// limit.
+constexpr std::size_t kMaxBufferBytes = 64 << 10;
+
 // Longest pause within a response: allows for a lost packet that TCP sends
 // again.
 constexpr std::chrono::milliseconds kStallTimeout{600};
@@ -50,7 +55,7 @@
   explicit Connection(asio::io_context& loop) : socket(loop) {}
 
   tcp::socket socket;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxBufferBytes};
 };
 
 // A single call. Keeps itself alive until its handler has run.
--- a/tests/processes/hostile_clients.cc
+++ b/tests/processes/hostile_clients.cc
@@ -43,6 +43,9 @@
 
 constexpr std::size_t kLargestBodyBytes = 4 << 20;
 
+// How long a backend server works on a request to /busy/.
+constexpr double kBusyMs = 4000;
+
 // Bounds on the duration of a case, which is not asserted.
 constexpr milliseconds kSendLimit{20000};
 constexpr milliseconds kHold{1500};
@@ -50,7 +53,8 @@
 constexpr int kOrdinaryTries = 100;
 constexpr double kOrdinaryPauseMs = 250;
 
-// Answers every request, those to /large/ with a large body.
+// Answers every request, those to /large/ with a large body, those to /busy/
+// late.
 class Backend {
  public:
   explicit Backend(const std::string& ip)
@@ -62,6 +66,8 @@
     static const std::string large(kLargeResponseBytes, 'r');
     Message request;
     while (connection->Read(request, Clock::now() + std::chrono::seconds(60))) {
+      if (request.Target().rfind("/busy/", 0) == 0)
+        SleepMs(kBusyMs);
       const bool is_large = request.Target().rfind("/large/", 0) == 0;
       const std::string body =
           is_large ? "" : "got " + std::to_string(request.body.size());
@@ -134,7 +140,7 @@
     store_.Put("servers", "i-1",
                EngineEntry("rounds", backend_.address(), 200, 1780000000001));
     json state = ModelState(
-        11, json::array({Route("small"), Route("large")}),
+        11, json::array({Route("small"), Route("large"), Route("busy")}),
         json::array({{{"name", "tenant-a"}, {"apiKeys", {"key-a"}}}}), "model",
         8);
     state["limits"]["maxBodyBytes"] = max_body_bytes;
@@ -326,6 +332,15 @@
               return RandomInt(0, 1) == 0 ? LargeChunk(before)
                                           : SmallChunks(before);
             }}},
+          {"complete_bodies",
+           {kBodyClients,
+            [] {
+              RawScript script = {
+                  Head("busy",
+                       "Content-Length: " + std::to_string(kMaxBodyBytes)),
+                  std::string(8192, 'c'), kMaxBodyBytes};
+              return script;
+            }}},
           {"slow_readers",
            {kSlowReaders,
             [] {
--- a/tests/sessions/gateway/bad_input_test.cc
+++ b/tests/sessions/gateway/bad_input_test.cc
@@ -14,6 +14,8 @@
     "POST /once/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: x\r\n"
     "Authorization: Bearer secret\r\n";
 
+const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+
 }  // namespace
 
 TEST_CASE("A request that could hide another reaches no engine", "[gateway]") {
@@ -60,6 +62,23 @@
   SECTION("a head that does not end") {
     CHECK_THAT(fleet.Exchange(kHead), Catch::StartsWith("HTTP/1.1 408"));
   }
+  SECTION("trailers") {
+    CHECK_THAT(fleet.Exchange(kHead + kChunked +
+                              "1\r\na\r\n0\r\nX: " + std::string(40000, 'x')),
+               Catch::StartsWith("HTTP/1.1 431"));
+  }
+  SECTION("a chunk extension") {
+    CHECK_THAT(fleet.Exchange(kHead + kChunked + "1;" +
+                              std::string(40000, 'x') + "\r\na\r\n0\r\n\r\n"),
+               Catch::StartsWith("HTTP/1.1 431"));
+  }
+  SECTION("chunk extensions in sum") {
+    std::string chunks;
+    for (int i = 0; i < 50; ++i)
+      chunks += "1;" + std::string(1000, 'x') + "\r\na\r\n";
+    CHECK_THAT(fleet.Exchange(kHead + kChunked + chunks + "0\r\n\r\n"),
+               Catch::StartsWith("HTTP/1.1 431"));
+  }
   CHECK(engine.requests().empty());
 }
 
@@ -91,6 +110,27 @@
   CHECK(engine.requests()[0].body() == "abcde");
 }
 
+// Guards against pipelined bytes that are taken for the framing of a body: they
+// are read while the request before is in progress.
+TEST_CASE("Pipelined requests with large bodies are passed on whole",
+          "[gateway]") {
+  GatewayFixture fleet;
+  ScriptedEngine& engine = fleet.AddEngine("i-1", WholeAnswer);
+  const std::string body(50000, 'b');
+  std::string chunks;
+  for (int i = 0; i < 3000; ++i)
+    chunks += "3;a=b\r\nabc\r\n";
+  const std::string answers = fleet.Exchange(
+      kHead + "Content-Length: 1\r\n\r\na" + kHead +
+      "Content-Length: 50000\r\n\r\n" + body + kHead + kChunked + "c350\r\n" +
+      body + "\r\n0\r\n\r\n" + kHead + kChunked + chunks + "0\r\n\r\n");
+  CHECK_THAT(answers, !Catch::Contains("HTTP/1.1 4"));
+  REQUIRE(engine.requests().size() == 4);
+  for (int i : {1, 2})
+    CHECK(engine.requests()[i].body().size() == body.size());
+  CHECK(engine.requests()[3].body().size() == 9000);
+}
+
 TEST_CASE("An entry that cannot be read names no engine", "[gateway]") {
   GatewayFixture fleet;
   fleet.AddEngine("i-1", WholeAnswer);
--- a/tests/unit/platform/store_client_test.cc
+++ b/tests/unit/platform/store_client_test.cc
@@ -36,7 +36,9 @@
 }
 
 // Answers one feed call with `answer` and returns what the client makes of it.
-TableResponse FollowWith(ScriptedEngine::Answer answer) {
+// `repeated_bytes` is set to what the store could send of an endless step.
+TableResponse FollowWith(ScriptedEngine::Answer answer,
+                         std::uint64_t* repeated_bytes = nullptr) {
   ScriptedEngine store(
       kPort, [&answer](const ScriptedEngine::Request&) { return answer; });
   boost::asio::io_context loop;
@@ -49,6 +51,8 @@
                 });
   loop.run_for(std::chrono::seconds(20));
   REQUIRE(received);
+  if (repeated_bytes != nullptr)
+    *repeated_bytes = store.repeated_bytes();
   return *received;
 }
 
@@ -99,6 +103,28 @@
   CHECK(response.bytes <= kMaxBytes);
 }
 
+// Guards against memory that grows with framing that the parser does not limit.
+TEST_CASE("A response with endless chunk framing fails the call",
+          "[platform]") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  ScriptedEngine::Answer answer;
+  SECTION("by a chunk extension") {
+    answer.steps.push_back({head + "4;", milliseconds(0)});
+    answer.steps.push_back({std::string(16000, 'x'), milliseconds(0), true});
+  }
+  SECTION("by trailers") {
+    answer.steps.push_back({head + "0\r\n", milliseconds(0)});
+    answer.steps.push_back(
+        {"A: " + std::string(16000, 'x') + "\r\n", milliseconds(0), true});
+  }
+  // The buffers of both sockets and of the connection.
+  constexpr std::uint64_t kMaxAcceptedBytes = 16 << 20;
+  std::uint64_t accepted_bytes = 0;
+  CHECK(FollowWith(answer, &accepted_bytes).outcome == CallOutcome::kUnknown);
+  CHECK(accepted_bytes < kMaxAcceptedBytes);
+}
+
 // Guards against a bad answer of the store that is taken for an answer without
 // rows, or that keeps a call open.
 TEST_CASE("A response that is no answer has an unknown outcome", "[platform]") {
