--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -13,7 +13,6 @@
 namespace dandelionmill::gateway {
 namespace {
 
-using boost::system::error_code;
 using std::chrono::milliseconds;
 using tcp = boost::asio::ip::tcp;
 
