Limit odd figures in the response fields of backend servers

Cause: Server-Load 2147483647,1,8 overflows the sum of running and waiting requests, so that the most loaded server looks idle; negative figures were accepted. Keep-Alive timeout=0 was taken for "unknown" and a connection that its server closes at once was kept for 4 s; a huge one had no limit. A malformed Retry-After of up to 64 KB went into the log as a whole.

Change: load figures are 0 to 1,000,000, a report with a negative one is dropped; idle timeouts are 1 ms to 1 h; 64 bytes of a malformed Retry-After are kept. Server-Limit, Server-Brittle and Retry-After already rejected NaN, infinities and negative numbers; of duplicated fields the first counts.

--- a/src/dandelionmill/platform/headers.cc
+++ b/src/dandelionmill/platform/headers.cc
@@ -36,6 +36,18 @@
 // that a wrong one does not take the server out of use for good.
 constexpr std::chrono::seconds kMaxPause{60};
 
+// Idle timeouts that backend servers name are moved into this range: 0 means
+// that a connection is not kept, and a huge one that it is kept for long.
+constexpr std::chrono::milliseconds kMinIdleTimeout{1};
+constexpr std::chrono::milliseconds kMaxIdleTimeout{3600000};
+
+// Figures of a load report above this count as this, so that sums of them stay
+// in range.
+constexpr int kMaxLoadFigure = 1'000'000;
+
+// Bytes of a malformed field that are kept for the log.
+constexpr std::size_t kMaxLoggedBytes = 64;
+
 // Hop-by-hop fields (RFC 9110, section 7.6.1) and the fields that frame the
 // body.
 constexpr const char* kHopByHopFields[] = {"Connection",
@@ -153,8 +165,11 @@
   gateway::ResponseMetadata::Load load;
   if (parts.size() != 3 || !ParseNumber(parts[0], load.running) ||
       !ParseNumber(parts[1], load.waiting) ||
-      !ParseNumber(parts[2], load.slots))
+      !ParseNumber(parts[2], load.slots) || load.running < 0 ||
+      load.waiting < 0 || load.slots < 0)
     return std::nullopt;
+  for (int* figure : {&load.running, &load.waiting, &load.slots})
+    *figure = std::min(*figure, kMaxLoadFigure);
   return load;
 }
 
@@ -189,7 +204,8 @@
   if (std::from_chars(begin, text.data() + text.size(), seconds).ec !=
       std::errc())
     return std::nullopt;
-  return std::chrono::seconds(seconds);
+  return std::clamp<std::chrono::milliseconds>(
+      std::chrono::seconds(seconds), kMinIdleTimeout, kMaxIdleTimeout);
 }
 
 }  // namespace
@@ -274,7 +290,7 @@
   if (status == kServiceUnavailable && !retry_after.empty()) {
     metadata.pause = ParsePause(retry_after);
     if (!metadata.pause)
-      metadata.malformed_pause = retry_after;
+      metadata.malformed_pause = retry_after.substr(0, kMaxLoggedBytes);
   }
   metadata.idle_timeout = ParseKeepAlive(FieldValue(message, "Keep-Alive"));
   return metadata;
--- a/tests/unit/platform/headers_test.cc
+++ b/tests/unit/platform/headers_test.cc
@@ -171,6 +171,42 @@
       CHECK(malformed.malformed_pause == text);
     }
   }
+  SECTION("odd figures of a load report change nothing or are limited") {
+    // Guards against a sum of huge figures that overflows and looks idle.
+    message.set("Server-Load", "2147483647,2147483647,2147483647");
+    const auto load = platform::DecodeResponseMetadata(200, message).load;
+    REQUIRE(load);
+    CHECK(load->running <= 1'000'000);
+    CHECK(load->waiting <= 1'000'000);
+    for (const char* text : {"", ",,", "-1,0,8", "0,-5,8", "1,1,99999999999",
+                             "nan,1,8", "1.5,1,8", "1, 1,8"}) {
+      INFO(text);
+      message.set("Server-Load", text);
+      CHECK_FALSE(platform::DecodeResponseMetadata(200, message).load);
+    }
+  }
+  SECTION("an odd idle timeout is moved into a usable range") {
+    for (const char* text : {"timeout=0", "timeout=-7"}) {
+      message.set("Keep-Alive", text);
+      // 0 stands for an unknown one.
+      CHECK(platform::DecodeResponseMetadata(200, message).idle_timeout ==
+            std::chrono::milliseconds(1));
+    }
+    message.set("Keep-Alive", "timeout=2147483647");
+    CHECK(platform::DecodeResponseMetadata(200, message).idle_timeout ==
+          std::chrono::hours(1));
+    for (const char* text :
+         {"", "timeout=", "timeout=x", "timeout=99999999999", "max=5"}) {
+      message.set("Keep-Alive", text);
+      CHECK_FALSE(platform::DecodeResponseMetadata(200, message).idle_timeout);
+    }
+  }
+  SECTION("a long malformed pause is shortened for the log") {
+    message.set("Retry-After", std::string(60000, 'x'));
+    CHECK(
+        platform::DecodeResponseMetadata(503, message).malformed_pause.size() <=
+        64);
+  }
   SECTION("only status 421 or Not-Executed marks a request as not executed") {
     CHECK(platform::DecodeResponseMetadata(421, message).not_executed);
     CHECK_FALSE(platform::DecodeResponseMetadata(503, message).not_executed);
