Reject invalid statuses; end no success before its request has arrived

Cause: BackendCall took every status below 200 for an interim one. A response with status 000 was skipped, its body stayed and was put in front of the body of the next response. 600 to 999 and the fields of such responses were passed on and trusted, also by a relaying instance. A success without a length counted as whole once its connection ended and the server answered on another one, also while the upload was still being written; when the connection was then reset, nobody read that any more. A response to an unfinished upload closed the connection, so that a server that responds first and reads on got a cut body.

Change: a status outside 100..599, 101, a transfer coding other than chunked, or a body that is framed in two ways ends the attempt as broken ("ran: maybe", retried where the kind allows); a relay takes no note of such a head, and the check of an incarnation counts it as no answer and skips interim responses. A success that ends with its connection is complete only once the peer has acknowledged the whole request (SIOCOUTQ); a reset before that breaks the attempt. A relay passes the end of such a response on only once it has delivered what it has of the request. After another early success the rest of the request is written for up to 5 s; the connection is then reused if it can.

--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -1,12 +1,15 @@
 #include "dandelionmill/gateway/backend_call.h"
 
 #include <array>
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <limits>
 #include <utility>
 
+#include "dandelionmill/gateway/response_status.h"
+#include "dandelionmill/gateway/socket_options.h"
 #include "dandelionmill/platform/headers.h"
 
 namespace dandelionmill::gateway {
@@ -30,6 +33,24 @@
 // Interim (1xx) responses that are skipped before the connection is closed.
 constexpr int kMaxInterimResponses = 16;
 
+// Interval of the checks whether the backend server has received the request.
+constexpr std::chrono::milliseconds kDeliveryCheckInterval{10};
+
+// Longest time to write the rest of a request that has its response. The body
+// stays in memory until then.
+constexpr std::chrono::milliseconds kRestOfRequestTimeout{5000};
+
+// Whether the body has a transfer coding other than chunked, which no request
+// has allowed, or is framed in two ways.
+bool IsFramingInvalid(const http::fields& fields) {
+  const auto codings = fields.equal_range(http::field::transfer_encoding);
+  if (codings.first == codings.second)
+    return false;
+  return std::next(codings.first) != codings.second ||
+         !boost::algorithm::iequals(codings.first->value(), "chunked") ||
+         fields.count(http::field::content_length) > 0;
+}
+
 }  // namespace
 
 BackendCall::BackendCall(ConnectionPool& pool,
@@ -46,7 +67,8 @@
       listener_(&listener),
       attempt_(std::move(attempt)),
       is_head_request_(is_head_request),
-      is_reused_(connection_->is_reused) {
+      is_reused_(connection_->is_reused),
+      timer_(connection_->socket.get_executor()) {
   ResetParser();
 }
 
@@ -59,23 +81,30 @@
   is_stale_response_ = false;
 }
 
-void BackendCall::Run(std::string head, const std::string& body) {
+void BackendCall::Run(std::string head,
+                      const std::string& body,
+                      std::shared_ptr<const void> body_owner) {
   request_head_ = std::move(head);
   overload_.OnSent(request_head_.size() + body.size());
   const std::array<asio::const_buffer, 2> parts = {asio::buffer(request_head_),
                                                    asio::buffer(body)};
-  asio::async_write(connection_->socket, parts,
-                    [self = shared_from_this()](error_code error, std::size_t) {
-                      if (self->listener_ == nullptr || !self->connection_)
-                        return;
-                      if (error)
-                        self->Fail("write: " + error.message());
-                      else
-                        self->is_request_written_ = true;
-                    });
+  asio::async_write(
+      connection_->socket, parts,
+      [self = shared_from_this(), owner = std::move(body_owner)](
+          error_code error, std::size_t) { self->OnRequestWritten(error); });
   Receive();
 }
 
+void BackendCall::OnRequestWritten(error_code error) {
+  is_request_written_ = !error;
+  if (listener_ != nullptr && error) {
+    Fail("write: " + error.message());
+  } else if (listener_ == nullptr && is_complete_) {
+    timer_.cancel();
+    ReleaseConnection();
+  }
+}
+
 void BackendCall::Resume() {
   if (!is_paused_)
     return;
@@ -86,9 +115,15 @@
 
 void BackendCall::Abandon() {
   listener_ = nullptr;
-  if (!connection_)
-    return;
+  if (connection_)
+    Close();
+}
+
+void BackendCall::Close() {
+  can_reuse_ = false;
+  timer_.cancel();
   error_code ignored;
+  // The object stays, since a write may still be in progress on the socket.
   connection_->socket.close(ignored);
 }
 
@@ -107,12 +142,8 @@
     return;
   if (error == asio::error::eof && has_reported_head_ && parser_->need_eof() &&
       !is_stale_response_) {
-    error_code end;
-    parser_->put_eof(end);
-    if (!end) {
-      Complete();
-      return;
-    }
+    OnBodyEnded();
+    return;
   }
   if (error) {
     Fail("read: " + error.message());
@@ -172,8 +203,17 @@
 bool BackendCall::OnHeadParsed() {
   const auto& message = parser_->get();
   const int status = static_cast<int>(message.result_int());
-  if (status < 200)
+  const StatusKind kind = KindOfStatus(message.result_int());
+  if (kind == StatusKind::kInterim)
     return true;
+  if (kind == StatusKind::kInvalid) {
+    Fail("response: status " + std::to_string(status) + " is not valid");
+    return false;
+  }
+  if (IsFramingInvalid(message)) {
+    Fail("response: the framing of the body is not valid");
+    return false;
+  }
   const ResponseMetadata metadata =
       platform::DecodeResponseMetadata(status, message);
   if (!metadata.attempt.empty() && metadata.attempt != attempt_) {
@@ -223,27 +263,63 @@
   return true;
 }
 
+void BackendCall::OnBodyEnded() {
+  // A success that ends before its request has been received is whole only if
+  // the backend server reads on: one that has crashed or closed the connection
+  // resets it when more of the request arrives.
+  if (IsSuccess(parser_->get().result_int())) {
+    const auto unacknowledged = UnacknowledgedBytes(connection_->socket);
+    if (!unacknowledged) {
+      Fail("the response ended before the request was received");
+      return;
+    }
+    if (!is_request_written_ || *unacknowledged > 0) {
+      timer_.expires_after(kDeliveryCheckInterval);
+      timer_.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && self->listener_ != nullptr)
+          self->OnBodyEnded();
+      });
+      return;
+    }
+  }
+  error_code error;
+  parser_->put_eof(error);
+  if (error)
+    Fail("response: " + error.message());
+  else
+    Complete();
+}
+
 void BackendCall::Complete() {
-  const bool can_reuse = parser_->keep_alive() && !parser_->need_eof() &&
-                         is_request_written_ && connection_->buffer.size() == 0;
+  is_complete_ = true;
+  can_reuse_ = parser_->keep_alive() && !parser_->need_eof() &&
+               connection_->buffer.size() == 0;
   Listener* listener = std::exchange(listener_, nullptr);
-  BackendConnectionPtr connection = std::move(connection_);
-  if (can_reuse) {
-    pool_.PutIdle(backend_, std::move(connection),
-                  std::chrono::steady_clock::now());
+  if (!is_request_written_ && IsSuccess(parser_->get().result_int())) {
+    // The backend server has begun to respond before it has read the body.
+    timer_.expires_after(kRestOfRequestTimeout);
+    timer_.async_wait([self = shared_from_this()](error_code error) {
+      if (!error && self->connection_)
+        self->Close();
+    });
   } else {
-    error_code ignored;
-    connection->socket.close(ignored);
-    // Keeps the socket alive, since a write may still be in progress on it.
-    connection_ = std::move(connection);
+    ReleaseConnection();
   }
   listener->OnComplete();
 }
 
+void BackendCall::ReleaseConnection() {
+  if (can_reuse_ && is_request_written_) {
+    pool_.PutIdle(backend_, std::move(connection_),
+                  std::chrono::steady_clock::now());
+  } else {
+    Close();
+  }
+}
+
 void BackendCall::Fail(const std::string& reason) {
   Listener* listener = std::exchange(listener_, nullptr);
-  error_code ignored;
-  connection_->socket.close(ignored);
+  Close();
   listener->OnBroken(reason);
 }
 
--- a/src/dandelionmill/gateway/backend_call.h
+++ b/src/dandelionmill/gateway/backend_call.h
@@ -1,6 +1,7 @@
 #ifndef SRC_DANDELIONMILL_GATEWAY_BACKEND_CALL_H_
 #define SRC_DANDELIONMILL_GATEWAY_BACKEND_CALL_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
@@ -29,7 +30,7 @@
                         const ResponseMetadata& metadata) = 0;
     virtual void OnBody(std::string_view bytes) = 0;
     // The response is complete. The connection has gone back to the pool or
-    // was closed.
+    // was closed, or the rest of the request is still being written.
     virtual void OnComplete() = 0;
     // The connection failed, or its data was not a response to this request.
     // `reason` is for logs.
@@ -48,8 +49,11 @@
   // Commands.
   // Sends the request and starts to read the response. `head` holds the request
   // line and the header fields with the empty line after them. `body` must
-  // outlive the call.
-  void Run(std::string head, const std::string& body);
+  // exist as long as `body_owner`, which is released once the request has been
+  // written or the connection is closed.
+  void Run(std::string head,
+           const std::string& body,
+           std::shared_ptr<const void> body_owner);
   // Stops reading until Resume; used while the caller reads slowly.
   void Pause() { is_paused_ = true; }
   void Resume();
@@ -70,7 +74,14 @@
   bool Parse();
   bool ParseBody();
   bool OnHeadParsed();
+  void OnRequestWritten(boost::system::error_code error);
+  // The backend server has ended its side of the connection, and so the body.
+  void OnBodyEnded();
   void Complete();
+  // Returns the connection to the pool if it can carry another request, and
+  // closes it otherwise.
+  void ReleaseConnection();
+  void Close();
   void Fail(const std::string& reason);
   void ResetParser();
 
@@ -82,6 +93,7 @@
   const base::AttemptId attempt_;
   const bool is_head_request_;
   const bool is_reused_;
+  boost::asio::steady_timer timer_;
   std::string request_head_;
   std::optional<Parser> parser_;
   bool has_reported_head_ = false;
@@ -91,6 +103,9 @@
   std::size_t stale_bytes_ = 0;
   int interim_response_count_ = 0;
   bool is_request_written_ = false;
+  bool is_complete_ = false;
+  // Whether the complete response leaves the connection usable.
+  bool can_reuse_ = false;
   bool is_paused_ = false;
   bool is_receiving_ = false;
 };
--- a/src/dandelionmill/gateway/incarnation_check.cc
+++ b/src/dandelionmill/gateway/incarnation_check.cc
@@ -5,9 +5,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "dandelionmill/gateway/response_status.h"
 #include "dandelionmill/platform/engine_report.h"
 #include "dandelionmill/platform/headers.h"
 
@@ -30,9 +32,7 @@
       : timer_(loop),
         head_(platform::ReportRequestHead(address)),
         connection_(std::move(connection)),
-        handler_(std::move(handler)) {
-    parser_.body_limit(kMaxReportBytes);
-  }
+        handler_(std::move(handler)) {}
 
   void Run() {
     timer_.expires_after(kIncarnationTimeout);
@@ -53,19 +53,32 @@
       Complete({});
       return;
     }
+    Read();
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxReportBytes);
     http::async_read(
-        connection_->socket, connection_->buffer, parser_,
+        connection_->socket, connection_->buffer, *parser_,
         [self = shared_from_this()](error_code problem, std::size_t) {
           self->OnRead(problem);
         });
   }
 
   void OnRead(error_code error) {
-    const auto& response = parser_.get();
+    const auto& response = parser_->get();
+    const StatusKind kind = KindOfStatus(response.result_int());
+    // The timer limits the number of interim responses.
+    if (!error && !is_closed_ && kind == StatusKind::kInterim) {
+      Read();
+      return;
+    }
     const auto metadata = platform::DecodeResponseMetadata(
         static_cast<int>(response.result_int()), response);
     // A late response to an earlier request may come in its place.
-    const bool is_report = !error && metadata.attempt.empty();
+    const bool is_report =
+        !error && kind == StatusKind::kFinal && metadata.attempt.empty();
     if (!is_report) {
       Complete({});
       return;
@@ -77,7 +90,7 @@
     connection_->incarnation = report.incarnation;
     if (metadata.idle_timeout)
       connection_->idle_timeout = *metadata.idle_timeout;
-    if (!is_closed_ && parser_.keep_alive() && connection_->buffer.size() == 0)
+    if (!is_closed_ && parser_->keep_alive() && connection_->buffer.size() == 0)
       report.connection = std::move(connection_);
     Complete(std::move(report));
   }
@@ -98,7 +111,7 @@
   asio::steady_timer timer_;
   const std::string head_;
   BackendConnectionPtr connection_;
-  http::response_parser<http::string_body> parser_;
+  std::optional<http::response_parser<http::string_body>> parser_;
   IncarnationHandler handler_;
   bool is_closed_ = false;
 };
--- a/src/dandelionmill/gateway/internal/exchange_connect.cc
+++ b/src/dandelionmill/gateway/internal/exchange_connect.cc
@@ -225,7 +225,7 @@
       context_.pool, context_.overload, *backend_, std::move(connection),
       static_cast<BackendCall::Listener&>(*this), request_metadata_.attempt,
       request_.method() == http::verb::head);
-  call_->Run(RequestHead(), request_.body());
+  call_->Run(RequestHead(), request_.body(), shared_from_this());
   ArmTimer();
 }
 
--- a/src/dandelionmill/gateway/relay_session.cc
+++ b/src/dandelionmill/gateway/relay_session.cc
@@ -5,7 +5,9 @@
 #include <boost/beast/http/read.hpp>
 #include <utility>
 
+#include "dandelionmill/gateway/internal/response_end.h"
 #include "dandelionmill/gateway/response_observer.h"
+#include "dandelionmill/gateway/response_status.h"
 #include "dandelionmill/gateway/socket_options.h"
 #include "dandelionmill/log/event.h"
 #include "dandelionmill/platform/headers.h"
@@ -24,6 +26,9 @@
 constexpr milliseconds kRequestTimeout{1000};
 constexpr std::uint32_t kMaxRequestBytes = 4096;
 
+// Interval of the checks whether the backend server has received the request.
+constexpr milliseconds kDeliveryCheckInterval{10};
+
 // Larger response heads are relayed but not observed.
 constexpr std::size_t kMaxResponseHeadBytes = 65536;
 
@@ -160,8 +165,10 @@
         self->context_.overload.OnSent(count);
         if (&channel == &self->from_backend_)
           self->ObserveResponseHead({channel.bytes.data(), count});
+        channel.is_writing = true;
         asio::async_write(*channel.sink, asio::buffer(channel.bytes, count),
                           [self, &channel](error_code problem, std::size_t) {
+                            channel.is_writing = false;
                             if (!self->on_ended_)
                               return;
                             if (problem)
@@ -181,11 +188,42 @@
     End(true, "broken by the backend server");
     return;
   }
+  EndResponse();
+}
+
+void RelaySession::EndResponse() {
+  // A backend server that has crashed or closed the connection resets it when
+  // more of the request arrives. The response is not whole then, and the other
+  // instance cannot know: what it has written may still be here.
+  if (ends_with_connection_) {
+    const std::optional<bool> is_delivered = IsRequestDelivered();
+    if (!is_delivered) {
+      End(true, "broken by the backend server");
+      return;
+    }
+    if (!*is_delivered) {
+      timer_.expires_after(kDeliveryCheckInterval);
+      timer_.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && self->on_ended_)
+          self->EndResponse();
+      });
+      return;
+    }
+  }
   // The other instance closes its connection once it has read the rest.
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+std::optional<bool> RelaySession::IsRequestDelivered() {
+  const auto unacknowledged = UnacknowledgedBytes(connection_->socket);
+  if (!unacknowledged)
+    return std::nullopt;
+  error_code ignored;
+  return *unacknowledged == 0 && !to_backend_.is_writing &&
+         socket_.available(ignored) == 0;
+}
+
 void RelaySession::ObserveResponseHead(std::string_view bytes) {
   // A connection that is not for a request carries no answer to one.
   if (is_head_observed_ || request_.attempt.empty())
@@ -204,7 +242,10 @@
     if (error || !parser.is_header_done())
       break;
     const int status = static_cast<int>(parser.get().result_int());
-    if (status < 200) {
+    const StatusKind kind = KindOfStatus(parser.get().result_int());
+    if (kind == StatusKind::kInvalid)
+      break;
+    if (kind == StatusKind::kInterim) {
       // An interim response; the final one follows.
       is_head_observed_ = false;
       response_head_.erase(0, used);
@@ -212,6 +253,8 @@
     }
     const ResponseMetadata metadata =
         platform::DecodeResponseMetadata(status, parser.get());
+    ends_with_connection_ = IsSuccess(parser.get().result_int()) &&
+                            internal::EndsWithConnection(parser.get());
     const BackendProcess process{connection_->listed_incarnation,
                                  connection_->incarnation,
                                  connection_->opened_at, backend_->address};
--- a/src/dandelionmill/gateway/relay_session.h
+++ b/src/dandelionmill/gateway/relay_session.h
@@ -44,6 +44,7 @@
     boost::asio::ip::tcp::socket* sink = nullptr;
     std::array<char, kBufferBytes> bytes;
     std::uint64_t relayed_bytes = 0;
+    bool is_writing = false;
   };
 
   void OnRequest(boost::system::error_code error);
@@ -54,6 +55,11 @@
   void Respond(RelayStatus status);
   void Relay(Channel& channel);
   void OnSourceEnded(Channel& channel, boost::system::error_code error);
+  // Passes the end of the response on.
+  void EndResponse();
+  // Whether all bytes of the request have reached the backend server; nothing
+  // if its connection is broken.
+  std::optional<bool> IsRequestDelivered();
   void ObserveResponseHead(std::string_view bytes);
   // Closes both connections, with a reset if `is_broken`.
   void End(bool is_broken, const char* reason);
@@ -76,6 +82,8 @@
   // Bytes of the response until its head is complete.
   std::string response_head_;
   bool is_head_observed_ = false;
+  // Whether the response is a success whose body ends with the connection.
+  bool ends_with_connection_ = false;
   Channel to_backend_;
   Channel from_backend_;
   base::MonoTime accepted_at_{};
--- a/src/dandelionmill/gateway/socket_options.cc
+++ b/src/dandelionmill/gateway/socket_options.cc
@@ -1,6 +1,8 @@
 #include "dandelionmill/gateway/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace dandelionmill::gateway {
@@ -43,4 +45,15 @@
   socket.close(ignored);
 }
 
+std::optional<std::size_t> UnacknowledgedBytes(tcp::socket& socket) {
+  int problem = 0;
+  socklen_t size = sizeof(problem);
+  int count = 0;
+  const int handle = socket.native_handle();
+  if (::getsockopt(handle, SOL_SOCKET, SO_ERROR, &problem, &size) != 0 ||
+      problem != 0 || ::ioctl(handle, SIOCOUTQ, &count) != 0)
+    return std::nullopt;
+  return static_cast<std::size_t>(count);
+}
+
 }  // namespace dandelionmill::gateway
--- a/standins/backend/scripted_engine.cc
+++ b/standins/backend/scripted_engine.cc
@@ -5,7 +5,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <limits>
 #include <utility>
 
 namespace standins::backend {
@@ -18,6 +20,9 @@
 
 constexpr std::chrono::milliseconds kPeerCheckInterval{5};
 
+// Time from FIN until the connection is reset.
+constexpr std::chrono::milliseconds kResetDelay{100};
+
 // Least bytes of one write of a repeating step.
 constexpr std::size_t kRepeatWriteBytes = 65536;
 
@@ -102,27 +107,40 @@
 void ScriptedEngine::Serve(tcp::socket& socket) {
   boost::beast::flat_buffer buffer;
   for (;;) {
-    Request request;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     error_code error;
-    http::read(socket, buffer, request, error);
+    http::read_header(socket, buffer, parser, error);
+    if (error)
+      return;
+    const bool is_report = parser.get().target() == "/api/report";
+    const bool answers_now = answers_before_body && !is_report;
+    if (answers_now && !Play(socket, CurrentScript()(parser.get())))
+      return;
+    if (!parser.is_done())
+      http::read(socket, buffer, parser, error);
     if (error)
       return;
-    if (request.target() == "/api/report") {
+    const Request request = parser.release();
+    if (is_report) {
       if (!Play(socket, Report()))
         return;
       continue;
     }
-    Script script;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       requests_.push_back(request);
-      script = script_;
     }
-    if (!Play(socket, script(request)))
+    if (!answers_now && !Play(socket, CurrentScript()(request)))
       return;
   }
 }
 
+ScriptedEngine::Script ScriptedEngine::CurrentScript() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return script_;
+}
+
 bool ScriptedEngine::Play(tcp::socket& socket, const Answer& answer) {
   error_code error;
   for (const Step& step : answer.steps) {
@@ -156,7 +174,15 @@
     Crash();
     return false;
   }
-  if (answer.then == Answer::Then::kReset)
+  if (answer.then == Answer::Then::kEndOutput ||
+      answer.then == Answer::Then::kEndOutputAndReset) {
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    if (answer.then == Answer::Then::kEndOutput)
+      return true;
+    std::this_thread::sleep_for(kResetDelay);
+  }
+  if (answer.then == Answer::Then::kReset ||
+      answer.then == Answer::Then::kEndOutputAndReset)
     socket.set_option(asio::socket_base::linger(true, 0), error);
   socket.close(error);
   return false;
--- a/standins/backend/scripted_engine.h
+++ b/standins/backend/scripted_engine.h
@@ -41,7 +41,16 @@
     std::vector<Step> steps;
     // What to do with the connection after the last step. kCrash ends the
     // engine: all its connections are closed and new ones are refused.
-    enum class Then { kKeep, kClose, kReset, kCrash } then = Then::kKeep;
+    // kEndOutput sends FIN and keeps the other direction open;
+    // kEndOutputAndReset resets the connection a moment after that.
+    enum class Then {
+      kKeep,
+      kClose,
+      kReset,
+      kCrash,
+      kEndOutput,
+      kEndOutputAndReset
+    } then = Then::kKeep;
   };
   using Script = std::function<Answer(const Request&)>;
 
@@ -49,6 +58,10 @@
   // reports are neither recorded nor passed to the script.
   std::atomic<std::int64_t> born{1};
 
+  // Whether requests are answered once their head has been read. The body is
+  // read, and the request recorded, after the answer if its connection is kept.
+  std::atomic<bool> answers_before_body{false};
+
   // Listens on 127.0.0.1. Throws boost::system::system_error if the port cannot
   // be bound.
   ScriptedEngine(int port, Script script);
@@ -93,6 +106,7 @@
  private:
   void Accept();
   void Serve(boost::asio::ip::tcp::socket& socket);
+  Script CurrentScript() const;
   Answer Report() const;
   void Crash();
   // Sends an answer. Returns false if the connection was closed.
--- a/tests/sessions/gateway/partitioned_instance_test.cc
+++ b/tests/sessions/gateway/partitioned_instance_test.cc
@@ -307,4 +307,62 @@
   CHECK(received.is_cut);
 }
 
+// Guards against a part of a response that looks whole: the backend server
+// breaks the connection while the upload is on its way through the relay.
+TEST_CASE("A relayed success that ends by a reset during its upload is broken",
+          "[gateway][partition]") {
+  json state = DesiredState(1);
+  state["limits"]["maxBodyBytes"] = 32 << 20;
+  PartitionedFixture fixture(state);
+  ScriptedEngine& engine = fixture.AddEngine("a", Complete("a"));
+  fixture.Settle("/once/x");
+  engine.answers_before_body = true;
+  using Then = Answer::Then;
+  for (const Then then :
+       {Then::kReset, Then::kEndOutputAndReset, Then::kEndOutput}) {
+    for (const std::size_t size : {std::size_t{500'000}, std::size_t{2'000'000},
+                                   std::size_t{24'000'000}}) {
+      engine.SetScript([then](const Request& request) {
+        return Answer{{{"HTTP/1.1 200 OK\r\nAttempt-Id: " +
+                        std::string(request["Attempt-Id"]) +
+                        "\r\nServer-Signature: proof\r\n"
+                        "Connection: close\r\n\r\npart"},
+                       {"", milliseconds(30)}},
+                      then};
+      });
+      const std::size_t read = engine.requests().size();
+      const Received received =
+          fixture.Send("/once/x", {}, std::string(size, 'b'));
+      INFO(static_cast<int>(then) << " with " << size << " bytes");
+      // An engine that reads on after its response gets the whole body.
+      CHECK(received.status == (then == Then::kEndOutput ? 200 : 502));
+      if (then != Then::kEndOutput)
+        continue;
+      fixture.WaitUntil(
+          [&engine, read] { return engine.requests().size() > read; });
+      CHECK(engine.requests().back().body().size() == size);
+    }
+  }
+}
+
+// Guards against responses with an invalid status that are passed on, and whose
+// fields the relay trusts.
+TEST_CASE("A relayed response with an invalid status is a failed attempt",
+          "[gateway][partition]") {
+  PartitionedFixture fixture;
+  ScriptedEngine& engine = fixture.AddEngine("a", Complete("a"));
+  fixture.Settle("/once/x");
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    engine.SetScript([status](const Request& request) {
+      Answer answer = ScriptedEngine::Leaving(Complete("a")(request));
+      answer.steps[0].bytes.replace(9, 3, status);
+      return answer;
+    });
+    INFO(status);
+    CHECK(fixture.Send("/once/x").status == 502);
+  }
+  engine.SetScript(Complete("a"));
+  CHECK(fixture.Send("/once/x", {}, "{}", kNeighborPort).status == 200);
+}
+
 }  // namespace gateway_test
