Fuzz chunk framing and status lines; bound framing below the parser's limit

Cause: found by the extended fuzzing: the parser throws length_error on a field of a trailer whose name or value is longer than 65,533 bytes ("field name too large"). BackendCall allowed 65,536 unparsed bytes and one more read, so a trailer of 66,000 bytes threw out of the read handler; nothing read on, and the request waited for its deadline. In the check of an incarnation nothing bounded chunk headers and trailers at all.

The mutator knows chunk framing, status lines and long repetitions.

--- a/src/dandelionmill/gateway/backend_call.cc
+++ b/src/dandelionmill/gateway/backend_call.cc
@@ -22,6 +22,10 @@
 constexpr std::size_t kReadBytes = 16384;
 constexpr std::uint32_t kMaxHeadBytes = 65536;
 
+// Bytes of a chunk header or a trailer. With one read they stay below 65,533:
+// the parser throws on a longer name or value of a field.
+constexpr std::size_t kMaxFramingBytes = 32768;
+
 // Responses to earlier requests that are skipped on one connection before it is
 // closed.
 constexpr int kMaxStaleResponses = 2;
@@ -154,8 +158,9 @@
   if (!Parse())
     return;
   // The parser consumes a chunk header or a trailer only as a whole, and has no
-  // limit for them.
-  if (connection_->buffer.size() > kMaxHeadBytes) {
+  // limit for them. It limits the head itself.
+  if (parser_->is_header_done() &&
+      connection_->buffer.size() > kMaxFramingBytes) {
     Fail("response: the chunk framing exceeds the size limit");
     return;
   }
--- a/src/dandelionmill/gateway/incarnation_check.cc
+++ b/src/dandelionmill/gateway/incarnation_check.cc
@@ -23,6 +23,10 @@
 // Largest report in bytes. A report lists the running requests.
 constexpr std::uint64_t kMaxReportBytes = 256 << 10;
 
+// Largest head, chunk header or trailer. The parser throws on a field that is
+// longer than 65,533 bytes.
+constexpr std::size_t kMaxBufferBytes = 48 << 10;
+
 class Check : public std::enable_shared_from_this<Check> {
  public:
   Check(asio::io_context& loop,
@@ -32,7 +36,10 @@
       : timer_(loop),
         head_(platform::ReportRequestHead(address)),
         connection_(std::move(connection)),
-        handler_(std::move(handler)) {}
+        usual_buffer_bytes_(connection_->buffer.max_size()),
+        handler_(std::move(handler)) {
+    connection_->buffer.max_size(kMaxBufferBytes);
+  }
 
   void Run() {
     timer_.expires_after(kIncarnationTimeout);
@@ -88,6 +95,7 @@
     if (response.result_int() == 200)
       report.incarnation = platform::DecodeReportedIncarnation(response.body());
     connection_->incarnation = report.incarnation;
+    connection_->buffer.max_size(usual_buffer_bytes_);
     if (metadata.idle_timeout)
       connection_->idle_timeout = *metadata.idle_timeout;
     if (!is_closed_ && parser_->keep_alive() && connection_->buffer.size() == 0)
@@ -111,6 +119,7 @@
   asio::steady_timer timer_;
   const std::string head_;
   BackendConnectionPtr connection_;
+  const std::size_t usual_buffer_bytes_;
   std::optional<http::response_parser<http::string_body>> parser_;
   IncarnationHandler handler_;
   bool is_closed_ = false;
--- a/tests/property/mutator.h
+++ b/tests/property/mutator.h
@@ -25,6 +25,49 @@
     return text;
   }
 
+  // Returns an HTTP message like `valid`, whose framing and status are mutated
+  // too. Now and then a part of it is repeated up to `max_bytes`.
+  std::string MutateMessage(const std::string& valid, std::size_t max_bytes) {
+    static const std::array<std::string, 16> kTokens = {
+        "\r\n",
+        "\n",
+        "\r",
+        "\r\n\r\n",
+        "0\r\n\r\n",
+        "0\r\n",
+        "ffffffffffffffff\r\n",
+        "10000000000000000\r\n",
+        "3;a=\"b\"\r\nabc\r\n",
+        "A: b\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\n",
+        "Content-Length: 18446744073709551615\r\n",
+        "HTTP/1.1 000 X\r\n\r\n",
+        "HTTP/1.1 103 X\r\n\r\n",
+        "HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n"};
+    std::string text = RandomBelow(4) == 0 ? Mutate(valid) : valid;
+    const std::size_t line_end = text.find('\r');
+    if (RandomBelow(4) == 0 && line_end != std::string::npos) {
+      // Mostly the status.
+      text.replace(RandomBelow(line_end + 1), RandomBelow(4),
+                   std::to_string(RandomBelow(1100)));
+    }
+    for (std::size_t i = RandomBelow(4); i > 0; --i) {
+      text.replace(RandomBelow(text.size() + 1), RandomBelow(3),
+                   kTokens[RandomBelow(kTokens.size())]);
+    }
+    if (RandomBelow(100) == 0 && !text.empty()) {
+      const std::size_t position = RandomBelow(text.size());
+      const std::string part = text.substr(position, 1 + RandomBelow(12));
+      const std::size_t bytes = RandomBelow(max_bytes);
+      std::string repeated;
+      while (repeated.size() < bytes)
+        repeated += part;
+      text.insert(position, repeated);
+    }
+    return text;
+  }
+
   // Returns a pseudo-random number below `limit`, which must be at least 1.
   std::size_t RandomBelow(std::size_t limit) { return random_() % limit; }
 
