--- a/tests/property/gateway/framing_property.cc
+++ b/tests/property/gateway/framing_property.cc
@@ -150,15 +150,21 @@
 // server that sends anything.
 TEST_CASE("Every response ends its call once, within its buffer",
           "[property]") {
-  const std::vector<std::string> samples = {
+  const std::string chunked =
       "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "3\r\nabc\r\n5;x=y\r\nhello\r\n0\r\nT: u\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello",
+      "3\r\nabc\r\n5;x=y\r\nhello\r\n0\r\nT: u\r\n\r\n";
+  const std::string after_interim =
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
-      "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string after_stale =
       "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nTransfer-Encoding: chunked\r\n"
-      "\r\n3\r\nabc\r\n0\r\n\r\nHTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\nno",
+      "\r\n3\r\nabc\r\n0\r\n\r\nHTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\nno";
+  const std::vector<std::string> samples = {
+      chunked,
+      after_interim,
+      after_stale,
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello",
       "HTTP/1.1 204 X\r\n\r\n"};
   const std::uint64_t inputs = ReadEnvironment("DANDELION_FUZZ_INPUTS", 20000);
   tests::Mutator mutator = MakeMutator();
@@ -182,13 +188,16 @@
           "[property]") {
   constexpr std::size_t kMaxHead = 4096;
   constexpr std::size_t kMaxBody = 8192;
+  const std::string head =
+      "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n";
+  const std::string small_chunks =
+      head + "\r\n3\r\nabc\r\n5;x=y\r\nhello\r\n0\r\nT: u\r\n\r\n";
+  const std::string large_chunk = head +
+                                  "Expect: 100-continue\r\n\r\n2000\r\n" +
+                                  std::string(kMaxBody, 'b') + "\r\n0\r\n\r\n";
   const std::vector<std::string> samples = {
-      "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "3\r\nabc\r\n5;x=y\r\nhello\r\n0\r\nT: u\r\n\r\n",
-      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
-      "POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n2000\r\n" +
-          std::string(8192, 'b') + "\r\n0\r\n\r\n"};
+      small_chunks, large_chunk,
+      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"};
   const std::uint64_t inputs = ReadEnvironment("DANDELION_FUZZ_INPUTS", 20000);
   tests::Mutator mutator = MakeMutator();
   for (std::uint64_t i = 0; i < inputs; ++i) {
