--- a/src/dandelionmill/gateway/incarnation_check.cc
+++ b/src/dandelionmill/gateway/incarnation_check.cc
@@ -5,9 +5,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "dandelionmill/gateway/response_status.h"
 #include "dandelionmill/platform/engine_report.h"
 #include "dandelionmill/platform/headers.h"
 
@@ -21,6 +23,10 @@
 // Largest report in bytes. A report lists the running requests.
 constexpr std::uint64_t kMaxReportBytes = 256 << 10;
 
+// Largest head, chunk header or trailer. The parser throws on a field that is
+// longer than 65,533 bytes.
+constexpr std::size_t kMaxBufferBytes = 48 << 10;
+
 class Check : public std::enable_shared_from_this<Check> {
  public:
   Check(asio::io_context& loop,
@@ -33,8 +39,9 @@
         asks_for_report_(asks_for_report),
         sent_at_(base::BootClock::now()),
         connection_(std::move(connection)),
+        usual_buffer_bytes_(connection_->buffer.max_size()),
         handler_(std::move(handler)) {
-    parser_.body_limit(kMaxReportBytes);
+    connection_->buffer.max_size(kMaxBufferBytes);
   }
 
   void Run() {
@@ -56,19 +63,32 @@
       Complete({});
       return;
     }
+    Read();
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxReportBytes);
     http::async_read(
-        connection_->socket, connection_->buffer, parser_,
+        connection_->socket, connection_->buffer, *parser_,
         [self = shared_from_this()](error_code problem, std::size_t) {
           self->OnRead(problem);
         });
   }
 
   void OnRead(error_code error) {
-    const auto& response = parser_.get();
+    const auto& response = parser_->get();
+    const StatusKind kind = KindOfStatus(response.result_int());
+    // The timer limits the number of interim responses.
+    if (!error && !is_closed_ && kind == StatusKind::kInterim) {
+      Read();
+      return;
+    }
     const auto metadata = platform::DecodeResponseMetadata(
         static_cast<int>(response.result_int()), response);
     // A late response to an earlier request may come in its place.
-    const bool is_report = !error && metadata.attempt.empty();
+    const bool is_report =
+        !error && kind == StatusKind::kFinal && metadata.attempt.empty();
     if (!is_report) {
       Complete({});
       return;
@@ -84,9 +104,10 @@
       }
       connection_->incarnation = report.incarnation;
     }
+    connection_->buffer.max_size(usual_buffer_bytes_);
     if (metadata.idle_timeout)
       connection_->idle_timeout = *metadata.idle_timeout;
-    if (!is_closed_ && parser_.keep_alive() && connection_->buffer.size() == 0)
+    if (!is_closed_ && parser_->keep_alive() && connection_->buffer.size() == 0)
       report.connection = std::move(connection_);
     Complete(std::move(report));
   }
@@ -110,7 +131,8 @@
   const bool asks_for_report_;
   const base::BootTime sent_at_;
   BackendConnectionPtr connection_;
-  http::response_parser<http::string_body> parser_;
+  const std::size_t usual_buffer_bytes_;
+  std::optional<http::response_parser<http::string_body>> parser_;
   IncarnationHandler handler_;
   bool is_closed_ = false;
 };
--- a/src/dandelionmill/platform/headers.cc
+++ b/src/dandelionmill/platform/headers.cc
@@ -41,12 +41,18 @@
 constexpr std::size_t kMaxLoadReportBytes = 512;
 constexpr int kMaxReportedCount = 1000000;
 
-// Bytes of a malformed load report that are logged.
-constexpr std::size_t kMaxLoggedReportBytes = 64;
 // Longer remaining warm-up times are shortened to this value, for the same
 // reason.
 constexpr std::chrono::minutes kMaxWarmUp{10};
 
+// Idle timeouts that backend servers name are moved into this range: 0 means
+// that a connection is not kept, and a huge one that it is kept for long.
+constexpr std::chrono::milliseconds kMinIdleTimeout{1};
+constexpr std::chrono::milliseconds kMaxIdleTimeout{3600000};
+
+// Bytes of a malformed field that are kept for the log.
+constexpr std::size_t kMaxLoggedBytes = 64;
+
 // Hop-by-hop fields (RFC 9110, section 7.6.1) and the fields that frame the
 // body.
 constexpr const char* kHopByHopFields[] = {"Connection",
@@ -227,7 +233,8 @@
   if (std::from_chars(begin, text.data() + text.size(), seconds).ec !=
       std::errc())
     return std::nullopt;
-  return std::chrono::seconds(seconds);
+  return std::clamp<std::chrono::milliseconds>(
+      std::chrono::seconds(seconds), kMinIdleTimeout, kMaxIdleTimeout);
 }
 
 }  // namespace
@@ -306,7 +313,7 @@
   if (!load.empty()) {
     metadata.load = ParseLoad(load);
     if (!metadata.load)
-      metadata.malformed_load = load.substr(0, kMaxLoggedReportBytes);
+      metadata.malformed_load = load.substr(0, kMaxLoggedBytes);
   }
   metadata.requests_per_s = ParseRate(FieldValue(message, "Server-Limit"));
   metadata.max_rejections_per_s =
@@ -318,7 +325,7 @@
   if (status == kServiceUnavailable && !retry_after.empty()) {
     metadata.pause = ParsePause(retry_after);
     if (!metadata.pause)
-      metadata.malformed_pause = retry_after;
+      metadata.malformed_pause = retry_after.substr(0, kMaxLoggedBytes);
   }
   metadata.idle_timeout = ParseKeepAlive(FieldValue(message, "Keep-Alive"));
   return metadata;
