Refuse at once where a retry finds no backend server

Cause: a retry that found no backend server asked for another retry at the same moment, with the same result, until the service's allowance of retries was used up. Home regions and evacuations make this common: few backend servers are left.

Change: such a request is refused; no_retry=backend in the log.

--- a/src/dandelionmill/gateway/internal/exchange_placement.cc
+++ b/src/dandelionmill/gateway/internal/exchange_placement.cc
@@ -40,20 +40,22 @@
   if (context_.brittle_services.IsBrittle(service_->id, now) &&
       !context_.brittle_services.AdmitsMore(
           service_->id, context_.placement.InFlightAt(service_->id), now)) {
-    RetryOrRefuse(may_have_run_
-                      ? FailMaybeRun(base::Code::kBackendFailed, 502,
-                                     "the backend servers bear no further "
-                                     "requests")
-                      : RefuseNotRun(base::Code::kOverloaded,
-                                     "the backend servers bear no more "
-                                     "requests now",
-                                     kRetryAfterOverload));
+    // Another try at this moment would end here as well.
+    Refuse(may_have_run_ ? FailMaybeRun(base::Code::kBackendFailed, 502,
+                                        "the backend servers bear no further "
+                                        "requests")
+                         : RefuseNotRun(base::Code::kOverloaded,
+                                        "the backend servers bear no more "
+                                        "requests now",
+                                        kRetryAfterOverload));
     return;
   }
   ExcludeUnavailable(usable, request, now);
   const auto choice = context_.placement.Choose(usable, request, now);
   if (!choice) {
-    RetryOrRefuse(RefuseForWantOfBackend(usable));
+    if (may_have_run_)
+      no_retry_reason_ = "backend";
+    Refuse(RefuseForWantOfBackend(usable));
     return;
   }
   BeginAttempt(*choice, request, now);
--- a/tests/sessions/gateway/home_regions_test.cc
+++ b/tests/sessions/gateway/home_regions_test.cc
@@ -108,7 +108,10 @@
   fixture.abroad.SetScript(Break);
   CHECK(fixture.Send("/safe/x").status == 502);
   fixture.Configure(DesiredState(2));
-  fixture.SendSome();
+  fixture.abroad.SetScript(WholeAnswer);
+  fixture.home.SetScript(Break);
+  CHECK(fixture.Send("/safe/x").status == 200);
+  CHECK(fixture.home.requests().size() == 1);
 }
 
 }  // namespace gateway_test
--- a/tests/unit/scheduling/evacuations_test.cc
+++ b/tests/unit/scheduling/evacuations_test.cc
@@ -3,8 +3,12 @@
 #include <catch2/catch.hpp>
 
 namespace base = dandelionmill::base;
-using namespace dandelionmill::
-    scheduling;  // NOLINT(google-build-using-namespace)
+using dandelionmill::scheduling::EvacuationBegun;
+using dandelionmill::scheduling::EvacuationChanges;
+using dandelionmill::scheduling::EvacuationEnded;
+using dandelionmill::scheduling::EvacuationIgnored;
+using dandelionmill::scheduling::EvacuationRow;
+using dandelionmill::scheduling::Evacuations;
 using std::chrono::milliseconds;
 
 namespace {
--- a/tests/unit/scheduling/home_regions_test.cc
+++ b/tests/unit/scheduling/home_regions_test.cc
@@ -4,8 +4,12 @@
 #include <string>
 
 namespace base = dandelionmill::base;
-using namespace dandelionmill::
-    scheduling;  // NOLINT(google-build-using-namespace)
+using dandelionmill::scheduling::AllowedZones;
+using dandelionmill::scheduling::CombineHomeRegions;
+using dandelionmill::scheduling::FindUnknownRegion;
+using dandelionmill::scheduling::HomeRegions;
+using dandelionmill::scheduling::MakeHomeRegions;
+using dandelionmill::scheduling::ZoneRegions;
 
 namespace {
 
