Check the status dump and the gauge of an evacuated zone

Cause: the requests in flight per evacuated zone and the gauge were only compiled.

Change: the session fixture opens the page of metrics, and the case of a stream that runs in an evacuated zone reads both.

--- a/tests/sessions/gateway/evacuation_test.cc
+++ b/tests/sessions/gateway/evacuation_test.cc
@@ -10,6 +10,7 @@
 
 namespace asio = boost::asio;
 
+constexpr int kMetricsPort = kCallerPort + 3;
 constexpr int kRelayPort = 28250;
 constexpr int kUnreachablePort = 28260;
 constexpr int kRequests = 10;
@@ -139,7 +140,8 @@
   CHECK(fixture.north.requests().empty());
 }
 
-// Guards against streams that are cut off by an evacuation.
+// Guards against streams that are cut off by an evacuation, and that an
+// operator cannot see.
 TEST_CASE("A stream that runs in an evacuated zone is completed there",
           "[gateway][evacuation]") {
   EvacuationFixture fixture;
@@ -156,7 +158,17 @@
   std::thread caller([&] { received = fixture.Send("/single/x"); });
   fixture.WaitUntil([&] { return fixture.north.requests().size() == 1; });
   fixture.store.Put("op", "evacuate/north", json::object());
+  std::this_thread::sleep_for(kSettleTime);
+  httplib::Client operator_client("127.0.0.1", kMetricsPort);
+  const auto dump = operator_client.Get("/dump");
+  const auto metrics = operator_client.Get("/metrics");
   caller.join();
+  REQUIRE(dump);
+  const json evacuation = json::parse(dump->body)["evacuations"][0];
+  CHECK(evacuation["zone"] == "north");
+  CHECK(evacuation["in_flight"] == 1);
+  REQUIRE(metrics);
+  CHECK_THAT(metrics->body, Catch::Contains("dandelion_evacuated_zones 2"));
   CHECK(received.status == 200);
   CHECK_FALSE(received.is_cut);
   CHECK(fixture.Send("/once/x").status == 503);
--- a/tests/sessions/gateway/gateway_fixture.cc
+++ b/tests/sessions/gateway/gateway_fixture.cc
@@ -54,9 +54,21 @@
              {"born", 1}});
 }
 
+namespace {
+
+// The page of metrics follows the ports of the instance.
+gateway::Gateway::Options OptionsFor(
+    const dandelionmill::platform::NodeSettings& settings) {
+  gateway::Gateway::Options options;
+  options.metrics_port = settings.peer_address.port + 1;
+  return options;
+}
+
+}  // namespace
+
 RunningGateway::RunningGateway(
     const dandelionmill::platform::NodeSettings& settings)
-    : gateway_(loop_, settings, gateway::Gateway::Options()) {
+    : gateway_(loop_, settings, OptionsFor(settings)) {
   REQUIRE(base::IsOk(gateway_.Start()));
   thread_ = std::thread([this] { loop_.run(); });
 }
