Tests of placement by load reports with a work time

Cause: only the estimator and the emulator were tested, not the choice itself.

Change: tests that the home of a shared prompt is kept up to the objective, and abandoned for a long queue or failures; that slow and busy servers get fewer requests, of engines and of plain services; that an earlier start of a server leaves no estimate.

Result: unit_gateway passes.

--- a/tests/unit/gateway/placement_test.cc
+++ b/tests/unit/gateway/placement_test.cc
@@ -232,6 +232,93 @@
   CHECK(fixture.Choose(10000)->backend->id == BackendId("engine-0"));
 }
 
+// Guards against shared prompts that are read again at another engine for a
+// wait that would have met the objective, and against waiting at a home that is
+// late.
+TEST_CASE(
+    "On shared machines the home of a shared prompt is kept until its expected "
+    "wait would miss the objective",
+    "[gateway][shared_machines_waves]") {
+  Fixture fixture(9, 24);
+  fixture.PrepareRequest("topic", 5382, 6618);
+  const BackendId home = fixture.Choose(0)->backend->id;
+  const auto report = [&](const BackendId& id, int running, int waiting) {
+    for (int ms = 0; ms < 10; ++ms)
+      fixture.placement.OnLoad(fixture.EntryOf(id),
+                               {running, waiting, 24, 100.0}, At(ms));
+  };
+  for (const BackendEntry& entry : fixture.entries)
+    report(entry.id, 2, 0);
+  SECTION("a busy home") {
+    report(home, 24, 10);
+    const auto choice = fixture.Choose(20);
+    CHECK(choice->backend->id == home);
+    CHECK(choice->expected_wait > milliseconds(400));
+    REQUIRE(choice->load);
+    CHECK(choice->load->others > 12);
+    CHECK(choice->load_age == milliseconds(11));
+  }
+  SECTION("a home with a long queue") {
+    report(home, 24, 72);
+    CHECK(fixture.Choose(20)->backend->id != home);
+  }
+  SECTION("a home that fails") {
+    for (int i = 0; i < 20; ++i)
+      fixture.placement.OnEnded(fixture.EntryOf(home), AttemptEnd::kFailed,
+                                At(i));
+    report(home, 24, 20);
+    CHECK(fixture.Choose(30)->backend->id != home);
+  }
+}
+
+// Guards against machines that are slower all the time and get as many requests
+// as the others.
+TEST_CASE("On shared machines slow and busy servers get fewer requests",
+          "[gateway][shared_machines_waves]") {
+  Fixture fixture(3, 24);
+  for (BackendEntry& entry : fixture.entries)
+    entry.zone = ZoneId("zone-0");
+  const bool is_slow = GENERATE(true, false);
+  for (int ms = 0; ms < 2000; ms += 100) {
+    for (std::size_t i = 0; i < fixture.entries.size(); ++i) {
+      const bool is_first = i == 0;
+      fixture.placement.OnLoad(fixture.entries[i],
+                               {is_first && !is_slow ? 20 : 8, 0, 24,
+                                is_first && is_slow ? 150.0 : 100.0},
+                               At(ms));
+    }
+  }
+  fixture.request.latency_objective = milliseconds(300);
+  SECTION("requests to model engines") {
+    for (int i = 0; i < 20; ++i) {
+      fixture.PrepareRequest("", 0, 1500);
+      CHECK(fixture.Choose(2000)->backend->id != BackendId("engine-0"));
+    }
+  }
+  SECTION("requests to plain services") {
+    for (int i = 0; i < 20; ++i)
+      CHECK(fixture.Choose(2000)->backend->id != BackendId("engine-0"));
+  }
+}
+
+// Guards against estimates from an earlier start of a server.
+TEST_CASE("A report of an earlier start does not change the estimate",
+          "[gateway][shared_machines_waves]") {
+  Fixture fixture(1, 24);
+  const BackendEntry earlier = fixture.entries[0];
+  fixture.placement.OnLoad(earlier, {24, 10, 24, 300.0}, At(0));
+  ++fixture.entries[0].incarnation;
+  fixture.PrepareRequest("topic", 0, 1500);
+  REQUIRE(fixture.Choose(10));
+  fixture.placement.OnLoad(earlier, {24, 10, 24, 300.0}, At(20));
+  const auto choice = fixture.Choose(30);
+  CHECK(choice->load_age == std::nullopt);
+  // Only the mean of the service remains.
+  REQUIRE(choice->load);
+  CHECK(choice->load->waiting == 0);
+  CHECK(choice->load->work_time == 1);
+}
+
 // Guards against a log that holds nothing but the malformed reports of one
 // server, which come with every response.
 TEST_CASE("A malformed load report is logged once in ten seconds for a server",
