--- a/tests/unit/scheduling/load_estimate_test.cc
+++ b/tests/unit/scheduling/load_estimate_test.cc
@@ -8,9 +8,12 @@
 #include <vector>
 
 using dandelionmill::base::MonoTime;
+using dandelionmill::scheduling::FleetLoad;
+using dandelionmill::scheduling::LoadEstimate;
+using dandelionmill::scheduling::LoadEstimateOptions;
+using dandelionmill::scheduling::LoadReport;
+using dandelionmill::scheduling::TrustedLoad;
 using std::chrono::milliseconds;
-using namespace dandelionmill::
-    scheduling;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
