Test that relayed requests keep the bound of a cold server

Cause: the part of relay sessions in the bound had no test.

Change: a session case with a partitioned instance, its neighbor and three cold servers, which report their state in health responses only.

--- a/tests/sessions/gateway/partitioned_instance_test.cc
+++ b/tests/sessions/gateway/partitioned_instance_test.cc
@@ -2,9 +2,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <mutex>
 #include <vector>
 
 #include "tests/sessions/gateway/gateway_fixture.h"
@@ -195,6 +197,41 @@
   }
 }
 
+// Guards against a cold server that gets too many requests from instances that
+// relay them without a look at its state.
+TEST_CASE("An instance that relays requests keeps the bound of a cold server",
+          "[gateway][partition]") {
+  json state = DesiredState(1);
+  state["services"][0]["coldStartS"] = 3;
+  state["services"][0]["coldPerS"] = 4;
+  constexpr std::ptrdiff_t kAllowedInSecond = 11;
+  std::mutex mutex;
+  std::vector<std::chrono::steady_clock::time_point> arrivals;
+  PartitionedFixture fixture(state);
+  for (const char* id : {"a", "b", "c"}) {
+    fixture.AddEngine(id, [&, id](const Request& request) {
+      const Answer answer = ScriptedEngine::CompleteAnswer(request, 200, id);
+      if (request.target() == "/health")
+        return ScriptedEngine::Cold(answer, milliseconds(60000));
+      const std::lock_guard<std::mutex> lock(mutex);
+      if (std::string(id) == "a")
+        arrivals.push_back(std::chrono::steady_clock::now());
+      return answer;
+    });
+  }
+  for (int i = 0; i < 3; ++i)
+    fixture.Settle("/once/x");
+  const std::lock_guard<std::mutex> lock(mutex);
+  CHECK_FALSE(arrivals.empty());
+  for (const auto begin : arrivals) {
+    const auto count =
+        std::count_if(arrivals.begin(), arrivals.end(), [begin](auto at) {
+          return at >= begin && at < begin + std::chrono::seconds(1);
+        });
+    CHECK(count <= kAllowedInSecond);
+  }
+}
+
 // Guards against refusals for want of a relay, although the neighbor reaches
 // the service: it had been asked for another service before, which it has lost
 // too.
