Divide the allowance of a cold server among more instances

The division gave one instance the whole rate, 13, since 12 shares of one use a little less; three instances had it one after the other while the list of instances changed. Besides, one lost answer among several health checks at once made a warm server count as cold for coldStartS.

Change: among divisions that use at least 0.6 of the best one, that with the most instances is taken. A check without an answer changes nothing if the process was observed at that time.

--- a/src/dandelionmill/scheduling/allowance_share.cc
+++ b/src/dandelionmill/scheduling/allowance_share.cc
@@ -12,6 +12,11 @@
 // More instances than any fleet has; a rate from outside may be any number.
 constexpr std::size_t kMaxSharingInstances = 1000;
 
+// Part of the best possible use of a rate that is enough if it is divided among
+// more instances. With one large share, each list of instances that another
+// list replaces may add a whole rate.
+constexpr double kMinUsedPart = 0.6;
+
 }  // namespace
 
 std::size_t RendezvousRank(const base::BackendId& backend,
@@ -36,20 +41,18 @@
       std::max(1.0, std::min({std::floor(requests_per_s), whole,
                               static_cast<double>(kMaxSharingInstances),
                               static_cast<double>(fleet_size)}));
-  Division best;
+  // A share of r requests per second at equal intervals is at most r, rounded
+  // up, in any one second.
+  const auto share_of = [&](double count) {
+    return std::min(requests_per_s / count, std::floor(whole / count));
+  };
   double best_total = 0;
-  for (std::size_t instances = 1;
-       static_cast<double>(instances) <= max_instances; ++instances) {
-    const auto count = static_cast<double>(instances);
-    // A share of r requests per second at equal intervals is at most r, rounded
-    // up, in any one second.
-    const double share =
-        std::min(requests_per_s / count, std::floor(whole / count));
-    // Not above the best for differences that only come from rounding.
-    if (share * count >= best_total * (1 - 1e-9)) {
-      best = {instances, share};
-      best_total = share * count;
-    }
+  for (double count = 1; count <= max_instances; ++count)
+    best_total = std::max(best_total, count * share_of(count));
+  Division best;
+  for (double count = 1; count <= max_instances; ++count) {
+    if (count * share_of(count) >= kMinUsedPart * best_total)
+      best = {static_cast<std::size_t>(count), share_of(count)};
   }
   return best;
 }
--- a/src/dandelionmill/scheduling/allowance_share.h
+++ b/src/dandelionmill/scheduling/allowance_share.h
@@ -25,9 +25,9 @@
 
 // Divides `requests_per_s` so that all shares together are at most
 // `max_in_second` requests in any one second, if each instance sends its own
-// at equal intervals. Uses as much of the rate as that allows, and then as many
-// instances as possible, none of which has less than one request per second
-// unless it is the only one.
+// at equal intervals. Divides it among as many instances as use at least 0.6 of
+// what the best division would use, none of which has less than one request per
+// second unless it is the only one.
 Division DivideRate(double requests_per_s,
                     double max_in_second,
                     std::size_t fleet_size);
--- a/src/dandelionmill/scheduling/cold_allowance.cc
+++ b/src/dandelionmill/scheduling/cold_allowance.cc
@@ -247,6 +247,10 @@
     return;
   Member& member = MemberOf(backend);
   if (!result.is_answered) {
+    // Another check or a response has shown the state meanwhile.
+    if (member.observed_until &&
+        result.sent_at <= *member.observed_until + kMinRestartTime)
+      return;
     // The process that accepted the connection is warm by the end of that time.
     if (!IsCold(member, now))
       SetCold(backend.id, member, terms->cold_start, Source::kUnanswered, now);
