Let the last start of the server outlast each play of cold servers

Change: a start after 10 s of 30 s is the last one, so that each play ends with a warm server, which must be used.

--- a/tests/property/scheduling/cold_allowance_property.cc
+++ b/tests/property/scheduling/cold_allowance_property.cc
@@ -19,7 +19,9 @@
 const DefaultCases kCases(200);
 
 constexpr int kStepMs = 5;
-constexpr int kPlayMs = 20000;
+constexpr int kPlayMs = 30000;
+// A start of the server after this is its last one.
+constexpr int kLastStartMs = 10000;
 
 base::BootTime At(int ms) {
   return base::BootTime(std::chrono::hours(1)) + milliseconds(ms);
@@ -111,7 +113,7 @@
       ++process_;
       up_at_ = now + Draw(1000, 5000);
       cold_until_ = up_at_ + 3000;
-      down_at_ = up_at_ + Draw(2000, 9000);
+      down_at_ = up_at_ >= kLastStartMs ? kPlayMs : up_at_ + Draw(2000, 9000);
     }
     // A new entry is written late and read later, or its reading is lost.
     if (entry_process_ != process_ && IsUp(now) && Draw(0, 100) == 0) {
