Judge the link by slow connections only where much is sent on it

Cause: a connection to another region, or to a server in trouble, may take over 68 ms on a link that is idle, which counted as a full link and redirected fresh requests.

--- a/src/dandelionmill/gateway/overload_detector.cc
+++ b/src/dandelionmill/gateway/overload_detector.cc
@@ -147,8 +147,11 @@
 }
 
 double OverloadDetector::recent_link_load() const {
-  return std::max(recent_link_use_ / kFullLinkUse,
-                  duration<double>(connect_delay_) / kFullConnectDelay);
+  const double by_use = recent_link_use_ / kFullLinkUse;
+  // Slow connections say nothing about a link on which little is sent.
+  if (recent_link_use_ <= kQueuedLinkUse)
+    return by_use;
+  return std::max(by_use, duration<double>(connect_delay_) / kFullConnectDelay);
 }
 
 double OverloadDetector::CloseShare(base::MonoTime now) const {
