--- a/src/dandelionmill/gateway/body_progress.cc
+++ b/src/dandelionmill/gateway/body_progress.cc
@@ -19,7 +19,7 @@
                              max_framing_bytes_ + kFramingPerByte * body_bytes;
 }
 
-bool BodyProgress::IsTooSlow(base::MonoTime now) {
+bool BodyProgress::IsTooSlow(base::MonoTime now, bool is_memory_scarce) {
   if (now >= deadline_)
     return true;
   if (now < interval_end_)
@@ -27,7 +27,7 @@
   const bool is_slow = body_bytes_ - body_bytes_at_interval_ < kMinBytes;
   body_bytes_at_interval_ = body_bytes_;
   interval_end_ = now + kInterval;
-  return is_slow;
+  return is_memory_scarce && is_slow;
 }
 
 base::MonoTime BodyProgress::next_check() const {
--- a/src/dandelionmill/gateway/body_progress.h
+++ b/src/dandelionmill/gateway/body_progress.h
@@ -14,7 +14,8 @@
  public:
   // Longest time to receive a body once the head has been read.
   static constexpr std::chrono::milliseconds kTimeout{10000};
-  // In each interval, at least kMinBytes of the body must arrive.
+  // While memory is scarce, at least kMinBytes of the body must arrive in each
+  // interval. Otherwise callers may pause as long as the time limit allows.
   static constexpr std::chrono::milliseconds kInterval{5000};
   static constexpr std::size_t kMinBytes = 1024;
   // Framing that is allowed for each byte of the body: a chunk of one byte with
@@ -32,7 +33,7 @@
                   std::size_t body_bytes,
                   std::size_t pending_bytes);
   // Call at next_check(). Returns whether the body arrives too slowly.
-  bool IsTooSlow(base::MonoTime now);
+  bool IsTooSlow(base::MonoTime now, bool is_memory_scarce);
 
   // Queries.
   bool is_framing_too_long() const { return is_framing_too_long_; }
--- a/src/dandelionmill/gateway/caller_session.cc
+++ b/src/dandelionmill/gateway/caller_session.cc
@@ -355,7 +355,8 @@
 }
 
 void CallerSession::OnBodyTimeout(base::MonoTime now) {
-  if (body_progress_ && !body_progress_->IsTooSlow(now)) {
+  if (body_progress_ &&
+      !body_progress_->IsTooSlow(now, context_.memory.budget().is_tight())) {
     ArmTimeout(std::chrono::ceil<std::chrono::milliseconds>(
         body_progress_->next_check() - now));
     return;
