--- a/src/dandelionmill/gateway/exchange.h
+++ b/src/dandelionmill/gateway/exchange.h
@@ -158,6 +158,9 @@
   bool IsListedIncarnation(const BackendConnection& connection) const;
   // Returns the version at which the stream began; nothing if it is unknown.
   std::optional<std::string> BegunVersion() const;
+  // Gives up the attempt before the request is sent, and chooses a backend
+  // server again. The connection is kept.
+  void ChooseAgain(BackendConnectionPtr connection);
   void SendRequest(BackendConnectionPtr connection);
   // Whether the chosen backend server has said, since it was chosen, that it
   // leaves or wants no requests for some time, or another start is listed.
--- a/src/dandelionmill/gateway/internal/exchange_connect.cc
+++ b/src/dandelionmill/gateway/internal/exchange_connect.cc
@@ -47,11 +47,8 @@
   if (is_finished_)
     return;
   if (auto* connection = std::get_if<BackendConnectionPtr>(&result)) {
-    const base::MonoTime now = steady_clock::now();
-    if (IsChoiceOutdated(now)) {
-      context_.pool.PutIdle(*backend_, std::move(*connection), now);
-      EndAttempt(AttemptEnd::kAbandoned);
-      StartAttempt();
+    if (IsChoiceOutdated(steady_clock::now())) {
+      ChooseAgain(std::move(*connection));
       return;
     }
     UseConnection(std::move(*connection));
@@ -258,6 +255,12 @@
          (listed != nullptr && listed->incarnation != backend_->incarnation);
 }
 
+void Exchange::ChooseAgain(BackendConnectionPtr connection) {
+  context_.pool.PutIdle(*backend_, std::move(connection), steady_clock::now());
+  EndAttempt(AttemptEnd::kAbandoned);
+  StartAttempt();
+}
+
 void Exchange::SendRequest(BackendConnectionPtr connection) {
   // On a busy instance the end of the caller's connection may wait behind other
   // work.
@@ -271,10 +274,7 @@
     // Another relay may reach the same backend server.
     if (connection->relay)
       tried_backends_.erase(backend_->id);
-    context_.pool.PutIdle(*backend_, std::move(connection),
-                          steady_clock::now());
-    EndAttempt(AttemptEnd::kAbandoned);
-    StartAttempt();
+    ChooseAgain(std::move(connection));
     return;
   }
   if (!context_.cold_allowance.empty() &&
@@ -282,10 +282,7 @@
     context_.metrics.OnColdDeferred();
     // It was not tried, so that it may be chosen again.
     tried_backends_.erase(backend_->id);
-    context_.pool.PutIdle(*backend_, std::move(connection),
-                          steady_clock::now());
-    EndAttempt(AttemptEnd::kAbandoned);
-    StartAttempt();
+    ChooseAgain(std::move(connection));
     return;
   }
   context_.metrics.OnAttempt(attempt_count_ == 0 ? "first" : "again");
