--- a/src/dandelionmill/gateway/gateway.cc
+++ b/src/dandelionmill/gateway/gateway.cc
@@ -199,7 +199,13 @@
   if (base::IsOk(status))
     status = relay_server_.Listen(settings_.peer_address);
   if (base::IsOk(status)) {
-    const base::Status exchange = load_exchange_.Listen(settings_.peer_address);
+    // A second port may belong to another process of the machine if the range
+    // has only one.
+    const base::Status exchange =
+        settings_.last_peer_port > settings_.peer_address.port
+            ? load_exchange_.Listen(settings_.peer_address)
+            : base::Error{base::Code::kBadSetting,
+                          "there is no second port for other instances"};
     if (!base::IsOk(exchange)) {
       log::Event(log::Level::kWarning, "load_exchange_off")
           .With(base::ErrorOf(exchange));
--- a/src/dandelionmill/platform/node_settings.cc
+++ b/src/dandelionmill/platform/node_settings.cc
@@ -71,6 +71,19 @@
     return port;
   }
 
+  // The same as the first port if there is no other.
+  int LastPort(const std::string& key) {
+    const int first = FirstPort(key);
+    const std::string text = Text(key);
+    const std::size_t comma = text.find(',');
+    if (comma == std::string::npos)
+      return first;
+    const int last = std::atoi(text.c_str() + comma + 1);
+    if (last < first || last > 65535)
+      Fail(InvalidSetting(key, text, "FIRST,LAST with ports from 1 to 65535"));
+    return last;
+  }
+
   // Returns `default_value` when the key is missing or empty.
   double Number(const std::string& key, double default_value, double maximum) {
     const auto found = values_.find(key);
@@ -126,9 +139,10 @@
   settings.readiness = reader.Address("listen.ready");
   settings.store = reader.Address("platform.address");
   // "internalPortRange" is FIRST,LAST, a range of ports reserved for traffic
-  // between instances; only the first one is used.
+  // between instances; the first two are used.
   settings.peer_address = {reader.Text("ipAddress"),
                            reader.FirstPort("internalPortRange")};
+  settings.last_peer_port = reader.LastPort("internalPortRange");
   settings.shutdown_grace =
       reader.Milliseconds("bounds.graceS", settings.shutdown_grace, 1000);
   settings.drain_timeout =
--- a/src/dandelionmill/platform/node_settings.h
+++ b/src/dandelionmill/platform/node_settings.h
@@ -28,6 +28,9 @@
   // Listening address for other instances of the fleet: datagrams that lend
   // prepaid tokens over UDP, connections to relay over TCP.
   net::Address peer_address;
+  // The last of the ports for other instances, of which peer_address has the
+  // first.
+  int last_peer_port = 0;
 
   // Time between SIGTERM and SIGKILL.
   std::chrono::milliseconds shutdown_grace{8000};
--- a/tests/unit/platform/node_settings_test.cc
+++ b/tests/unit/platform/node_settings_test.cc
@@ -42,6 +42,8 @@
   CHECK(settings.evacuation_bound == std::chrono::milliseconds(4000));
   CHECK(settings.cold_overshoot == 1.25);
   CHECK(settings.cold_slack == 5);
+  CHECK(settings.peer_address.port == 7340);
+  CHECK(settings.last_peer_port == 7355);
   CHECK(settings.regions.size() == 2);
 }
 
@@ -58,7 +60,7 @@
        {"bounds.graceS=long", "bounds.evacuationMs=5s",
         "bounds.retryBudgetRatio=7", "bounds.coldOvershoot=-1",
         "bounds.coldSlack=some", "listen.frontend=somewhere",
-        "internalPortRange=x"}) {
+        "internalPortRange=x", "internalPortRange=7340,7339"}) {
     const std::string key = line.substr(0, line.find('='));
     const auto parsed = ParseNodeSettings(kExample + line + "\n");
     REQUIRE_FALSE(base::IsOk(parsed));
