--- a/src/dandelionmill/scheduling/peer_loads.h
+++ b/src/dandelionmill/scheduling/peer_loads.h
@@ -22,11 +22,10 @@
 
 // Sums what the other instances have in progress at each backend server, from
 // the reports that they send each other. Answers a load in which many instances
-// choose among the same backend servers and each hears of one only once in
-// seconds: without the reports they choose blindly, and those of one answer are
-// as old. Each report replaces the last one of its instance, so that lost,
-// late and repeated ones do no harm; an instance that is silent for
-// three intervals does not count. Pure.
+// choose among the same backend servers, while each receives responses from one
+// of them only every few seconds. Each report replaces the last one of its
+// instance, so that lost, late and repeated ones do no harm; an instance that
+// is silent for three intervals does not count. Pure.
 class PeerLoads {
  public:
   // Interval at which an instance reports.
@@ -39,17 +38,19 @@
     base::Tokens pending_prefill_tokens = 0;
   };
 
+  // Commands.
   // Sets the number of other instances, and the number that one sends its
   // reports to in an interval: in a larger fleet they come less often.
   void SetInstances(std::size_t instances, std::size_t reports_per_interval);
-  // Commands. Each returns the changes of the sums.
-  // `process` is a process of an instance, and `number` that of its report: one
-  // with a lower number than the last is ignored.
+  // Another instance has reported. Returns the changes of the sums. `process`
+  // is a process of an instance, and `number` that of its report: one with a
+  // lower number than the last is ignored.
   std::vector<Change> OnReport(const std::string& process,
                                std::uint64_t number,
                                std::vector<InstanceLoad> loads,
                                base::MonoTime now);
-  // Removes the instances whose last report is too old.
+  // Removes the instances whose last report is too old. Returns the changes of
+  // the sums.
   std::vector<Change> Expire(base::MonoTime now);
 
   // Queries.
