--- a/review/standins-2/dm.py
+++ b/review/standins-2/dm.py
@@ -2,6 +2,7 @@
 start real gateways. Python 3 standard library only; loopback addresses only."""
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -37,6 +38,11 @@
                              random.randint(2, 250))
 
 
+def end_with_parent():
+    """Called in a child: it is killed when the process that started it ends."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # 1 is PR_SET_PDEATHSIG
+
+
 class Record:
     """record.txt: what was sent, answered and run."""
 
@@ -467,7 +473,7 @@
             self.folder, "%s-%d.log" % (self.name, self.boots)), "w")
         self.process = subprocess.Popen(
             ["target/dandelion-gateway", "--settings", "deploy/gateway.json"],
-            cwd=ROOT, stdout=log, stderr=log,
+            cwd=ROOT, stdout=log, stderr=log, preexec_fn=end_with_parent,
             env={"PATH": os.environ.get("PATH", ""),
                  "DANDELIONMILL_NODE_FILE": self.conf})
 
