--- a/review/10/case.py
+++ b/review/10/case.py
@@ -22,6 +22,7 @@
         sys.executable, os.path.join(STANDINS, "engine_process.py"), host,
         str(port), "i-0", str(STATUS), stdin=asyncio.subprocess.PIPE,
         stdout=asyncio.subprocess.PIPE, preexec_fn=dm.end_with_parent)
+    is_killed = False
     try:
         await asyncio.wait_for(engine.stdout.readline(), 10)
         store.put("servers", "i-0", {
@@ -49,12 +50,13 @@
         await asyncio.sleep(0.05)
         if trouble:
             engine.kill()
+            is_killed = True
             record("the engine is killed")
         else:
             engine.stdin.write(b"go on\n")
         answer = await pending
     finally:
-        if engine.returncode is None:
+        if not is_killed:
             engine.kill()
         await engine.wait()
     record("client gets %s, headers %s, body %r" %
