--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,75 +1,107 @@
-"""An engine's failure without a length, cut by a crash, looks complete."""
+"""The last write of an instance that is stopped is performed late, between the
+read and the first write of its successor. Returned tokens are counted twice."""
 import asyncio
+import base64
+import json
 import os
+import signal
 import sys
-import time
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-STANDINS = os.path.join(HERE, "..", "standins-2")
-sys.path.insert(0, STANDINS)
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "standins-2"))
 import dm  # noqa: E402
-import engine_process  # noqa: E402
 
-STATUS = int(os.environ.get("STATUS", "500"))  # 200: the gateway is careful
+PREPAID = 1000000
+PROMPT, OUTPUT, STRIDE = 10000, 60, 6
+RESTART_AFTER_S = 1.0
+# When the two writes that get no answer are performed.
+FIRST_LATE_S, SECOND_LATE_S = 2.1, 5.0
 
 
 async def main(record, folder, trouble, gateways):
+    used = {"in": 0, "out": 0}
+    ran = set()
+
+    async def handle(engine, request, writer):
+        prompt, output = map(
+            int, dm.get(request.headers, "token-count").split(","))
+        engine.run(request)
+        if request.id not in ran:
+            ran.add(request.id)
+            used["in"] += prompt
+        await dm.stream(engine, request, writer, output // STRIDE)
+        return True
+
     store = dm.Store(record)
     await store.start()
-    host = dm.loopback_host()
-    port = dm.free_port(host)
-    engine = await asyncio.create_subprocess_exec(
-        sys.executable, os.path.join(STANDINS, "engine_process.py"), host,
-        str(port), "i-0", str(STATUS), stdin=asyncio.subprocess.PIPE,
-        stdout=asyncio.subprocess.PIPE, preexec_fn=dm.end_with_parent)
-    is_killed = False
-    try:
-        await asyncio.wait_for(engine.stdout.readline(), 10)
-        store.put("servers", "i-0", {
-            "service": dm.PLAIN, "version": "v1", "zone": "here-a",
-            "address": "%s:%d" % (host, port), "slots": 6, "state": "ready",
-            "coldRemainingMs": 0, "sequence": 1,
-            "born": int(time.time() * 1000)})
-        store.put("op", "config", dm.configuration(
-            [{"name": "tenant-a", "apiKeys": [dm.KEY], "priority": 1}]))
-        gateway = dm.Gateway(folder, "front-a-1", store)
-        gateways.append(gateway)
-        gateway.start()
-        await gateway.wait_ready()
-        await asyncio.sleep(2)
+    for i in range(2):
+        engine = dm.Engine(record, "i-%d" % i, dm.SERVICE, handle)
+        await engine.start()
+        store.put("servers", engine.name, engine.entry())
+    store.put("op", "config", dm.configuration(
+        [{"name": "tenant-a", "apiKeys": [dm.KEY], "priority": 1,
+          "prepaid": PREPAID}]))
+    gateway = dm.Gateway(folder, "front-a-1", store)
+    gateways.append(gateway)
+    gateway.start()
+    await gateway.wait_ready()
+    await asyncio.sleep(3)
+
+    is_stopping = False
+    has_lost = set()
+
+    def lose(change):
+        for put in change.get("put", []):
+            if put["table"] == "prepaid" and put["part"].startswith("instance"):
+                row = json.loads(base64.b64decode(put["value"]))
+                break
+        else:
+            return None
+        is_return = not row["shares"]
+        if (not is_stopping or row["process"] in has_lost or
+                len(has_lost) == 2 or (not has_lost and not is_return)):
+            return None
+        has_lost.add(row["process"])
+        if not trouble:
+            return None
+        late = FIRST_LATE_S if len(has_lost) == 1 else SECOND_LATE_S
+        record("store: the answer to a write of %s is lost, it is performed "
+               "%.1f s later: %s" % (row["process"], late, json.dumps(row)))
+        return late
+
+    store.lose = lose
+    record("SIGTERM to %s" % gateway.name)
+    is_stopping = True
+    gateway.signal(signal.SIGTERM)
+    record("%s ended with %s" % (gateway.name, await gateway.wait_end()))
+    await asyncio.sleep(RESTART_AFTER_S)
+    record("%s starts again" % gateway.name)
+    gateway.start()
+    await gateway.wait_ready()
+    await asyncio.sleep(6)
 
+    refused = 0
+    for _ in range(300):
         attempt = dm.new_id()
-        record("client sends %s (unsafe)" % attempt)
-        pending = asyncio.ensure_future(dm.call(
-            gateway.address, "POST", "/pay/x",
-            [("Attempt-Id", attempt), ("Deadline-Milliseconds", "2000"),
-             ("Authorization", "Bearer " + dm.KEY)], b"q" * 100))
-        line = await asyncio.wait_for(engine.stdout.readline(), 10)
-        record("engine: %s of its answer %d is out" %
-               (line.decode().strip(), STATUS))
-        await asyncio.sleep(0.05)
-        if trouble:
-            engine.kill()
-            is_killed = True
-            record("the engine is killed")
+        answer = await dm.call(
+            gateway.address, "POST", "/gen/x",
+            dm.model_headers(attempt, PROMPT, OUTPUT), b"q" * 100)
+        record("client sends %s: %s" % (attempt, answer))
+        if answer.status == 200:
+            used["out"] += answer.body.count(b"\n\n") * STRIDE
+        elif answer.status == 402:
+            refused += 1
+            if refused == 3:
+                break
         else:
-            engine.stdin.write(b"go on\n")
-        answer = await pending
-    finally:
-        if not is_killed:
-            engine.kill()
-        await engine.wait()
-    record("client gets %s, headers %s, body %r" %
-           (answer, list(answer.headers), answer.body))
-    is_signed = dm.get(answer.headers, "server-signature") is not None
-    is_whole = answer.body == engine_process.WHOLE
-    record("signed: %s, complete to the client: %s, whole: %s" %
-           (is_signed, answer.complete, is_whole))
-    if not answer.status:
-        raise RuntimeError("no answer")
-    if not trouble and not (answer.status == STATUS and is_whole):
-        raise RuntimeError("the whole answer did not arrive")
-    return not (is_signed and answer.complete and not is_whole)
+            await asyncio.sleep(0.2)
+    if not refused:
+        raise RuntimeError("the tenant's tokens were not used up")
+    total = used["in"] + used["out"]
+    record("the tenant got %d input and %d output tokens of %d prepaid" %
+           (used["in"], used["out"], PREPAID))
+    print(total, PREPAID, flush=True)
+    return total <= PREPAID
 
 
-dm.run_case(main, HERE)
+dm.run_case(main, os.path.dirname(os.path.abspath(__file__)))
--- a/review/standins-2/dm.py
+++ b/review/standins-2/dm.py
@@ -297,6 +297,7 @@
         self.host = loopback_host()
         self.born = int(time.time() * 1000)
         self.runs = []
+        self.connections = set()
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, self.host, port)
@@ -309,6 +310,7 @@
                 "sequence": 1, "born": self.born}
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 line, headers = await read_head(reader)
@@ -334,6 +336,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     def run(self, request):
