--- a/review/standins-2/dm.py
+++ b/review/standins-2/dm.py
@@ -108,9 +108,6 @@
         self.history = []
         self.lose = lambda change: None
         self.changed = asyncio.Event()
-        # Set when the drill of a case gives the store eras.
-        self.era = None
-        self.is_away = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, 0)
@@ -126,22 +123,6 @@
         self._store((table, part, key), b"", True)
         self._notify()
 
-    def take_copy(self):
-        return dict(self.rows), self.version
-
-    def restore(self, copy):
-        """The store comes back from a copy; the operator and the engines write
-        theirs again."""
-        old = self.rows
-        self.rows, self.version = dict(copy[0]), copy[1]
-        self.history = sorted(self.rows.items(), key=lambda item: item[1][1])
-        self.era += 1
-        for key, row in old.items():
-            if key[0] in ("op", "servers") and self.rows.get(key) != row:
-                self.version += 1
-                self._store(key, row[0], row[2])
-        self._notify()
-
     def value(self, table, part, key):
         row = self.rows.get((table, part, key))
         return json.loads(row[0]) if row and not row[2] else None
@@ -174,8 +155,6 @@
                 line, headers = await read_head(reader)
                 body = await reader.readexactly(
                     int(get(headers, "content-length", "0")))
-                if self.is_away:
-                    return
                 method, target, _ = line.split(" ")
                 url = urllib.parse.urlsplit(target)
                 query = dict(urllib.parse.parse_qsl(url.query))
@@ -191,11 +170,9 @@
                     await reader.read()
                     return
                 text = json.dumps(result[1]).encode()
-                era = ("" if self.era is None
-                       else "Store-Era: %d\r\n" % self.era).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json"
-                             b"\r\n%sContent-Length: %d\r\n\r\n" %
-                             (result[0], era, len(text)) + text)
+                             b"\r\nContent-Length: %d\r\n\r\n" %
+                             (result[0], len(text)) + text)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
@@ -261,11 +238,8 @@
     async def feed(self, query):
         after = int(query["afterRevision"])
         end = now() + int(query["waitMs"]) / 1000
-        era = self.era
         while True:
             changed = self.changed
-            if after > self.version or self.era != era:
-                return 410, self._answer()
             rows = [self._json(k, r) for k, r in self.history
                     if k[0] == query["table"] and r[1] > after]
             left = end - now()
