--- a/review/standins-2/dm.py
+++ b/review/standins-2/dm.py
@@ -107,6 +107,7 @@
         self.version = 100
         self.history = []
         self.lose = lambda change: None
+        self.writes = []  # when each came, and whether its answer was lost
         self.changed = asyncio.Event()
 
     async def start(self):
@@ -202,6 +203,7 @@
     async def commit(self, change):
         await asyncio.sleep(self.answer_s / 2)
         late = self.lose(change)
+        self.writes.append((now(), late is not None))
         if late is not None:
             if late > 0:
                 asyncio.get_running_loop().call_later(
@@ -213,6 +215,17 @@
         await asyncio.sleep(self.answer_s / 2)
         return result
 
+    def largest_lost_share(self, window_s):
+        """The largest share of lost answers in a window that begins with one,
+        and the writes in that window."""
+        shares = [(0.0, 0)]
+        for begin, is_lost in self.writes:
+            inside = [lost for at, lost in self.writes
+                      if begin <= at < begin + window_s]
+            if is_lost:
+                shares.append((sum(inside) / len(inside), len(inside)))
+        return max(shares)
+
     def _apply_late(self, change):
         status, _ = self.apply(change)
         self.record("store: a call that got no answer is performed now: %s"
