--- a/review/10/case.py
+++ b/review/10/case.py
@@ -97,6 +97,8 @@
             await asyncio.sleep(0.2)
     if not refused:
         raise RuntimeError("the tenant's tokens were not used up")
+    record("largest share of lost answers in 4.5 s: %.2f of %d writes" %
+           store.largest_lost_share(4.5))
     total = used["in"] + used["out"]
     record("the tenant got %d input and %d output tokens of %d prepaid" %
            (used["in"], used["out"], PREPAID))
